--- /dev/null
+++ b/choice/choice.go
@@ -0,0 +1,914 @@
+// Package choice decides for one front of a service whose readers (prefill) and writers (decode) are
+// separate: where a request is read and answered, when it is held, tried again, refused or failed. Its
+// interface (settings, events, actions) stands in choice/api.go; every decision stands here. The ordinary
+// path is Prophet's.
+package choice
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"sort"
+	"time"
+)
+
+const (
+	beat = 20 * time.Millisecond // how often a router with open requests looks again
+
+	// Holding and release.
+	starveAfter  = 2 * time.Second        // a held request this old may be promoted ...
+	promoteEvery = 4                      // ... but at most every so many releases
+	readCap      = 6                      // own reads at a reader
+	readBound    = 300 * time.Millisecond // own prompt tokens waiting at a reader, as reading time there
+	streamCap    = 64                     // own streams at a writer
+	memoryShare  = 0.95                   // part of its share of a writer's memory that a front fills
+	outGuess     = 0.4                    // expected answer, as a part of the most it may be
+	mixedWeight  = 0.6                    // what a mixed server takes, whole requests, against a writer
+	keptMax      = 20000                  // remembered prefixes and sessions a server
+
+	// Health: failures, and work done for the time that work was out, against peers of the role.
+	failGain  = 0.25                   // weight of the newest outcome
+	failBad   = 0.4                    // a server failing this part is put aside
+	memory    = 5 * time.Second        // how long work done counts
+	slowPart  = 0.35                   // doing less than this part of what peers do is slow
+	enoughFor = 8.0                    // pieces that peers would have finished before a server is judged
+	backFirst = 500 * time.Millisecond // first pause before a trial
+	backMost  = 8 * time.Second        // longest pause
+	trialsFor = 2                      // good trials before a server is back
+	fullPause = 150 * time.Millisecond // a server that turned a request away has no room for so long
+
+	// Time-outs and final answers.
+	readLeast  = 800 * time.Millisecond  // least time-out of a read
+	firstLeast = 1500 * time.Millisecond // least time-out of a writer's first token
+	patience   = 4.0                     // time-outs, as a multiple of the usual time
+	margin     = 30 * time.Millisecond   // final answers of held requests come this long before Due
+	pauseLeast = 200 * time.Millisecond  // least advised wait
+	parkPart   = 0.5                     // part of the release time that a read state may wait for a writer
+)
+
+// Router decides for one front. It is not safe for concurrent use.
+type Router struct {
+	set       Settings
+	salt      uint64
+	now       time.Duration
+	out       []Action
+	byID      map[ServerID]*server
+	servers   []*server // by id
+	reqs      map[RequestID]*request
+	held      []*request // waiting for room, no state anywhere
+	parked    []*request // read, waiting for a writer
+	tenants   []bucket
+	newTokens []float64 // mean unread tokens of a prompt, by class
+	readPace  float64   // mean reading seconds a token, own queue included
+	firstTime float64   // mean seconds from a writer's send to the first token
+	mixedDebt float64   // whole requests that mixed servers have yet to take
+	released  int       // releases since the last promotion
+	beating   bool
+	askAt     time.Duration
+}
+
+// server is what this front knows of one server.
+type server struct {
+	Server
+	role   Role
+	listed bool
+	n      int     // own attempts out
+	tokens float64 // charged to them
+	kept   map[uint64]float64
+	full   time.Duration // no room until
+	sends  []sent        // to a cold server, in the last window
+
+	fail       float64 // share of late outcomes that failed
+	done, load float64 // work finished, time with work out; both fade
+	count      float64 // pieces finished; fades
+	seen       time.Duration
+	bad        bool
+	back       time.Duration // next trial
+	pause      time.Duration
+	trials     int
+}
+
+type sent struct {
+	at     time.Duration
+	weight float64
+}
+
+// attempt is one send of a request.
+type attempt struct {
+	s      *server
+	out    bool
+	write  bool // has an effect; else a read
+	trial  bool
+	at     time.Duration
+	charge float64
+	ahead  float64 // own tokens at the server, this prompt's included
+}
+
+// request is one request from its arrival until its last attempt has an outcome.
+type request struct {
+	Request
+	class    *Class
+	at       time.Duration
+	att      []attempt
+	out      int
+	reader   *server // where its read state waits
+	stateAt  time.Duration
+	read     bool // some read was sent: state may be held
+	ran      bool // an attempt may have run, on
+	ranOn    *server
+	ranAt    time.Duration
+	started  bool // its stream runs
+	over     bool // beyond its tenant's share
+	ended    bool
+	promoted bool
+}
+
+type bucket struct{ level, rate float64 }
+
+// New makes the decisions' state for one front; fronts of a service get seeds of their own.
+func New(s Settings, seed uint64) (*Router, error) {
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	s.Fronts = max(s.Fronts, 1)
+	s.MaxAttempts = cmp.Or(s.MaxAttempts, 2)
+	s.MaxWait = cmp.Or(s.MaxWait, time.Second)
+	s.ReleaseWithin = cmp.Or(s.ReleaseWithin, 300*time.Millisecond)
+	if s.ColdFrom <= 0 {
+		s.ColdFrom = 0.25
+	}
+	r := &Router{set: s, salt: seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
+		newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
+	for _, t := range s.Tenants {
+		rate := t.QuotaPerS / float64(s.Fronts)
+		r.tenants = append(r.tenants, bucket{level: 2 * rate, rate: rate})
+	}
+	return r, nil
+}
+
+// Step takes what happened at now, in order, and returns what to do, in order.
+func (r *Router) Step(now time.Duration, events []Event) []Action {
+	dt := now - r.now
+	if r.now == 0 {
+		dt = 0
+	}
+	r.now, r.out = now, nil
+	for i := range r.tenants {
+		t := &r.tenants[i]
+		t.level = min(t.level+t.rate*dt.Seconds(), 2*t.rate)
+	}
+	for _, ev := range events {
+		r.handle(ev)
+	}
+	r.judge()
+	r.watch()
+	r.unpark()
+	r.dispatch()
+	if len(r.reqs) > 0 && !r.beating {
+		r.beating = true
+		r.emit(Wake{After: beat, Tag: 1})
+	}
+	return r.out
+}
+
+func (r *Router) emit(a Action) { r.out = append(r.out, a) }
+
+func (r *Router) handle(ev Event) {
+	switch ev := ev.(type) {
+	case ServerList:
+		r.list(ev)
+	case Request:
+		r.arrive(ev)
+	case First:
+		r.first(ev)
+	case Outcome:
+		r.outcome(ev)
+	case ClientGone:
+		if q := r.reqs[ev.Request]; q != nil && !q.ended {
+			r.finish(q, nil)
+		}
+	case Timer:
+		r.beating = r.beating && ev.Tag != 1
+	}
+}
+
+// ---- The list of servers ----
+
+func (r *Router) list(l ServerList) {
+	if l.Scope == Failed {
+		r.askAt = r.now + time.Second
+		return
+	}
+	if l.Scope != Changes {
+		for _, s := range r.servers {
+			s.listed = false
+		}
+	}
+	for _, e := range l.Servers {
+		r.line(e)
+	}
+	sort.Slice(r.servers, func(i, j int) bool { return r.servers[i].ID < r.servers[j].ID })
+}
+
+// line takes one entry. A later start means a new process: empty, cold, and of unknown health.
+func (r *Router) line(e Server) {
+	s := r.byID[e.ID]
+	if s == nil {
+		if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
+			return
+		}
+		s = &server{Server: e, role: r.set.Kinds[e.Kind].Role, kept: map[uint64]float64{}, seen: r.now}
+		r.byID[e.ID] = s
+		r.servers = append(r.servers, s)
+	}
+	if e.ReadyAt > s.ReadyAt {
+		s.kept = map[uint64]float64{}
+		s.fresh(r.now)
+	}
+	s.Server, s.listed = e, e.State == Ready
+	if e.State == Gone { // what waits there is lost
+		for _, q := range r.parked {
+			if q.reader == s {
+				q.reader = nil
+			}
+		}
+	}
+}
+
+// watch asks for the list where it must be asked for.
+func (r *Router) watch() {
+	if r.set.AskForList && r.now >= r.askAt {
+		r.emit(Watch{})
+		r.askAt = r.now + max(r.set.AskWithin/2, time.Second)
+	}
+}
+
+// ---- Health: one notion for errors, broken connections, stalls and slowness ----
+
+func (s *server) fresh(now time.Duration) {
+	s.bad, s.fail, s.done, s.load, s.count, s.pause, s.trials, s.seen = false, 0, 0, 0, 0, 0, 0, now
+}
+
+func (r *Router) cold(s *server) bool {
+	return r.set.ColdFor > 0 && s.ReadyAt > 0 && r.now-s.ReadyAt < r.set.ColdFor
+}
+
+// age brings the fading figures of s to now. A reader is busy or not; a writer works on each stream.
+func (r *Router) age(s *server) {
+	dt := (r.now - s.seen).Seconds()
+	s.seen = r.now
+	if dt <= 0 {
+		return
+	}
+	f := math.Exp(-dt / memory.Seconds())
+	n := float64(s.n)
+	if s.role == Reader {
+		n = min(n, 1)
+	}
+	s.done, s.count, s.load = s.done*f, s.count*f, s.load*f+n*dt
+}
+
+// pace is the work that s finished for the time that work was out there.
+func (s *server) pace() float64 { return (s.done + 1e-9) / (s.load + 1e-3) }
+
+// judge puts servers aside that do far less than the peers of their role: slow ones, and those that take
+// work and stay silent. When all are slow none is blamed, and never more than half of a role. It also
+// holds against a server cut off in one direction; it could hurt where a role has two servers of very
+// unlike speed.
+func (r *Router) judge() {
+	for _, s := range r.servers {
+		r.age(s)
+	}
+	for role := Reader; role <= Mixed; role++ {
+		var peers []*server
+		aside := 0
+		for _, s := range r.servers {
+			if s.role == role && s.listed && !r.cold(s) {
+				peers = append(peers, s)
+				if s.bad {
+					aside++
+				}
+			}
+		}
+		for _, s := range peers {
+			if s.bad || 2*(aside+1) > len(peers) {
+				continue
+			}
+			var other []float64
+			piece, pieces := 0.0, 0.0
+			for _, p := range peers {
+				if p != s && !p.bad && p.load > 0.5 {
+					other = append(other, p.pace())
+					piece, pieces = piece+p.done, pieces+p.count
+				}
+			}
+			if len(other) == 0 || pieces < 1 {
+				continue
+			}
+			sort.Float64s(other)
+			due := other[(len(other)-1)/2] * s.load
+			if due*pieces/piece > enoughFor && s.done < slowPart*due {
+				r.aside(s, "slow or silent")
+				aside++
+			}
+		}
+	}
+}
+
+func (r *Router) aside(s *server, why string) {
+	s.bad, s.trials = true, 0
+	s.pause = min(max(2*s.pause, backFirst), backMost)
+	s.back = r.now + s.pause
+	r.emit(Log{fmt.Sprintf("server %d put aside: %s (failing %.2f)", s.ID, why, s.fail)})
+}
+
+// learn takes one outcome into the health of its server. A failed connection or a broken one speaks louder
+// than an error: the process is likely gone, long before the list says so.
+func (r *Router) learn(s *server, a *attempt, failed bool, gain float64, usual bool) {
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	s.fail += gain * (v - s.fail)
+	switch {
+	case s.bad && failed && r.now >= s.back:
+		r.aside(s, "trial failed")
+	case s.bad && a.trial && !failed && usual:
+		if s.trials++; s.trials >= trialsFor {
+			pause := s.pause
+			s.fresh(r.now)
+			s.pause = pause / 2
+			r.emit(Log{fmt.Sprintf("server %d is back", s.ID)})
+		}
+	case s.bad && a.trial && !failed:
+		r.aside(s, "trial slow")
+	case !s.bad && s.fail > failBad:
+		r.aside(s, "failing")
+	}
+}
+
+// ---- Room: one notion for caps, cold budgets, trials and servers that turned work away ----
+
+// room tells whether s takes a further own attempt of so many tokens. A server put aside takes one trial
+// at a time.
+func (r *Router) room(s *server, q *request, tokens float64) bool {
+	if !s.listed || r.now < s.full || !r.coldRoom(s, q) {
+		return false
+	}
+	if s.bad {
+		return s.n == 0 && r.now >= s.back && (s.role == Reader || q.class.Effect == Safe)
+	}
+	if s.n == 0 {
+		return true
+	}
+	if s.role == Reader {
+		return s.n < readCap && (s.tokens+tokens)*r.readPace < readBound.Seconds()
+	}
+	return s.n < streamCap && s.tokens+tokens <= r.memory(s)
+}
+
+// memory is the part of a writer's memory that own streams may fill.
+func (r *Router) memory(s *server) float64 {
+	m := r.set.Kinds[s.Kind].Memory
+	if m == 0 {
+		return math.MaxFloat64
+	}
+	m *= memoryShare / float64(r.set.Fronts)
+	if r.cold(s) {
+		m *= r.set.ColdFrom
+	}
+	return m
+}
+
+// weight is what a send counts on a cold server: the mean work of its class.
+func (r *Router) weight(s *server, q *request) float64 {
+	if s.role == Reader {
+		return max(r.newTokens[q.Class], 1)
+	}
+	return 1
+}
+
+// coldRoom keeps a server that has just started within its budget: what warm peers of its role finish is
+// less than they can do, and each front counts only its own, so that all fronts together stay under the
+// whole.
+func (r *Router) coldRoom(s *server, q *request) bool {
+	if !r.cold(s) {
+		return true
+	}
+	window := r.set.TipAfter
+	for len(s.sends) > 0 && r.now-s.sends[0].at > window {
+		s.sends = s.sends[1:]
+	}
+	if len(s.sends) == 0 {
+		return true
+	}
+	rate, n := 0.0, 0.0
+	for _, p := range r.servers {
+		if p.role == s.role && p.listed && !r.cold(p) {
+			rate, n = rate+p.done/memory.Seconds(), n+1
+		}
+	}
+	if n == 0 {
+		return false
+	}
+	used := r.weight(s, q)
+	for _, e := range s.sends {
+		used += e.weight
+	}
+	return used <= 0.7*r.set.OverloadFactor*r.set.ColdFrom*window.Seconds()*rate/n
+}
+
+// ---- Requests ----
+
+func (r *Router) arrive(ev Request) {
+	if r.reqs[ev.ID] != nil || ev.Class < 0 || ev.Class >= len(r.set.Classes) {
+		return
+	}
+	q := &request{Request: ev, class: &r.set.Classes[ev.Class], at: r.now}
+	if ev.Tenant >= 0 && ev.Tenant < len(r.tenants) && r.tenants[ev.Tenant].rate > 0 {
+		t := &r.tenants[ev.Tenant]
+		if q.over = t.level < 1; !q.over {
+			t.level--
+		}
+	}
+	r.reqs[ev.ID] = q
+	r.held = append(r.held, q)
+}
+
+// dispatch releases held requests: shortest prompt first, and every promoteEvery-th time one that starved.
+// A bounded promotion keeps a backlog that starved all at once from putting its long prompts before the
+// short ones. While requests are held those beyond their tenant's share come last.
+func (r *Router) dispatch() {
+	if len(r.held) == 0 {
+		return
+	}
+	sort.SliceStable(r.held, func(i, j int) bool {
+		a, b := r.held[i], r.held[j]
+		if a.over != b.over {
+			return b.over
+		}
+		if a.PromptLen != b.PromptLen {
+			return a.PromptLen < b.PromptLen
+		}
+		return a.ID < b.ID
+	})
+	waiting := r.held
+	r.held = nil
+	if r.released >= promoteEvery-1 {
+		if i := oldest(waiting, r.now-starveAfter); i > 0 {
+			q := waiting[i]
+			copy(waiting[1:i+1], waiting[:i])
+			waiting[0] = q
+		}
+	}
+	for _, q := range waiting {
+		switch {
+		case r.hopeless(q):
+			r.finish(q, r.no(q))
+		case r.launch(q):
+			r.released++
+			if r.now-q.at > starveAfter {
+				r.released = 0
+			}
+		default:
+			r.held = append(r.held, q)
+		}
+	}
+}
+
+// oldest finds the request that has waited longest, since before limit at least.
+func oldest(qs []*request, limit time.Duration) int {
+	best := -1
+	for i, q := range qs {
+		if q.at < limit && (best < 0 || q.at < qs[best].at) {
+			best = i
+		}
+	}
+	return best
+}
+
+// hopeless tells that a held request can't be answered in time any more; it is refused early, while trying
+// again later may still help its client.
+func (r *Router) hopeless(q *request) bool {
+	need := time.Duration((r.newTokens[q.Class]*r.readPace/4 + r.firstTime/4) * float64(time.Second))
+	return r.now+max(margin, need) >= q.Due || len(q.att) >= r.set.MaxAttempts
+}
+
+// launch sends a held request to a reader, or whole to a mixed server, if there is room for it.
+func (r *Router) launch(q *request) bool {
+	readers, writers, mixed := r.pools()
+	whole := mixed > 0 && (readers == 0 || r.mixedDebt >= 1)
+	if whole {
+		if s := r.home(q, Mixed); s != nil {
+			r.mixedDebt = max(r.mixedDebt-1, -1)
+			r.send(q, s, true)
+			return true
+		}
+	}
+	if readers == 0 && r.set.WritersRead {
+		if s := r.writer(q, true); s != nil {
+			r.send(q, s, true)
+			return true
+		}
+	}
+	if readers == 0 || !r.writerRoom(q) {
+		return false
+	}
+	s := r.home(q, Reader)
+	if s == nil {
+		return false
+	}
+	if mixed > 0 {
+		m := mixedWeight * mixed
+		r.mixedDebt = min(r.mixedDebt+m/(m+writers), 2)
+	}
+	r.send(q, s, false)
+	return true
+}
+
+// pools counts the usable servers of each role.
+func (r *Router) pools() (readers, writers, mixed float64) {
+	for _, s := range r.servers {
+		if s.listed && !s.bad {
+			switch s.role {
+			case Reader:
+				readers++
+			case Writer:
+				writers++
+			case Mixed:
+				mixed++
+			}
+		}
+	}
+	return
+}
+
+// home walks the servers of a role in the hash order of the request's prefix and returns the first with
+// room. The order is over all known servers, so one that is put aside or spills does not move the homes of
+// others.
+func (r *Router) home(q *request, role Role) *server {
+	key := q.Prefix
+	if key == 0 {
+		key = q.Session
+	}
+	var best, again *server
+	var bestHash, againHash uint64
+	for _, s := range r.servers {
+		if s.role != role || !r.room(s, q, r.unread(q, s)) {
+			continue
+		}
+		h := mix(key ^ mix(uint64(s.ID)))
+		if q.triedOn(s) {
+			if again == nil || h > againHash {
+				again, againHash = s, h
+			}
+		} else if best == nil || h > bestHash {
+			best, bestHash = s, h
+		}
+	}
+	if best == nil {
+		return again
+	}
+	return best
+}
+
+// unread guesses the prompt tokens that s has yet to read.
+func (r *Router) unread(q *request, s *server) float64 {
+	have := max(s.kept[q.Prefix], s.kept[q.Session])
+	return max(q.PromptLen-have, 0) + 200
+}
+
+// memoryNeed is what the request takes of a writer's memory.
+func (q *request) memoryNeed() float64 { return q.PromptLen + outGuess*q.MaxOut }
+
+// writerRoom tells whether some writer has room beyond what is being read for the writers now.
+func (r *Router) writerRoom(q *request) bool {
+	reading, room := 0.0, 0.0
+	any := false
+	for _, s := range r.servers {
+		if s.role == Reader {
+			reading += float64(s.n) * q.memoryNeed()
+			continue
+		}
+		if r.room(s, q, q.memoryNeed()) {
+			any = true
+			room += min(r.memory(s)-s.tokens, 1e12)
+		}
+	}
+	return any && room > reading
+}
+
+// writer picks the writer with the fewest own streams, ties to the reader's cell, then its zone. If none
+// has room it is, unless room is asked for, the least loaded that may be sent to at all; servers put aside
+// come last.
+func (r *Router) writer(q *request, needRoom bool) *server {
+	var best *server
+	var bestRank [6]float64
+	_, writers, _ := r.pools()
+	for _, s := range r.servers {
+		spared := s.role == Reader || s.role == Mixed && q.reader != nil && writers > 0
+		if spared || !s.listed || !r.allowed(q, s) {
+			continue
+		}
+		room := r.room(s, q, q.memoryNeed())
+		if needRoom && !room || !room && !r.coldRoom(s, q) {
+			continue
+		}
+		tie := float64(mix(r.salt^uint64(s.ID)) >> 12)
+		rank := [6]float64{b2f(!room), b2f(!room && s.bad), b2f(q.triedOn(s)), float64(s.n), 2, tie}
+		if q.reader != nil && s.Cell == q.reader.Cell {
+			rank[4] = 0
+		} else if q.reader != nil && s.Zone == q.reader.Zone {
+			rank[4] = 1
+		}
+		if best == nil || less(rank, bestRank) {
+			best, bestRank = s, rank
+		}
+	}
+	return best
+}
+
+// allowed keeps the effect rules: where an earlier attempt may have run, only a safe class goes anywhere,
+// a keyed one inside its group and window.
+func (r *Router) allowed(q *request, s *server) bool {
+	if !q.ran || q.class.Effect == Safe {
+		return true
+	}
+	if q.class.Effect == Unsafe || r.now-q.ranAt >= q.class.Window {
+		return false
+	}
+	switch q.class.Group {
+	case GroupZone:
+		return s.Zone == q.ranOn.Zone
+	case GroupCell:
+		return s.Cell == q.ranOn.Cell
+	}
+	return true
+}
+
+func (q *request) triedOn(s *server) bool {
+	for i := range q.att {
+		if q.att[i].s == s && q.att[i].write == (s.role != Reader) {
+			return true
+		}
+	}
+	return false
+}
+
+// send starts an attempt and books what it takes.
+func (r *Router) send(q *request, s *server, write bool) {
+	a := attempt{s: s, out: true, write: write, at: r.now, trial: s.bad}
+	a.charge = r.unread(q, s)
+	if s.role != Reader {
+		a.charge = q.memoryNeed()
+	}
+	r.age(s)
+	s.n++
+	s.tokens += a.charge
+	a.ahead = s.tokens
+	if r.cold(s) {
+		s.sends = append(s.sends, sent{r.now, r.weight(s, q)})
+	}
+	q.att = append(q.att, a)
+	q.out++
+	q.read = q.read || !write
+	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a)})
+}
+
+// timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves.
+func (r *Router) timeout(q *request, a *attempt) time.Duration {
+	left := r.set.MaxAttempts - len(q.att)
+	usual, least := a.ahead*r.readPace, readLeast
+	if a.write {
+		if q.class.Effect != Safe || left < 1 {
+			return 0
+		}
+		usual, least = r.firstTime, firstLeast
+		if a.s.role == Mixed || q.reader == nil {
+			usual += a.charge * r.readPace
+		}
+	} else if left < 2 {
+		return 0
+	}
+	return max(least, time.Duration(patience*usual*float64(time.Second)))
+}
+
+func (r *Router) first(ev First) {
+	q := r.reqs[ev.Request]
+	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.att) {
+		return
+	}
+	a := &q.att[ev.Attempt]
+	q.started, q.reader = true, nil
+	if a.s.role == Writer {
+		r.firstTime += 0.05 * (ev.Elapsed.Seconds() - r.firstTime)
+	}
+	r.learn(a.s, a, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
+}
+
+// outcome ends an attempt: books out what it took, judges its server, and decides what comes next.
+func (r *Router) outcome(ev Outcome) {
+	q := r.reqs[ev.Request]
+	if q == nil || ev.Attempt < 0 || ev.Attempt >= len(q.att) || !q.att[ev.Attempt].out {
+		return
+	}
+	a := &q.att[ev.Attempt]
+	r.settle(q, a, ev)
+	switch {
+	case q.ended:
+		if ev.Result == ReadDone { // a late read: nobody will fetch it
+			r.emit(Release{q.ID})
+		}
+	case ev.Over || ev.Result == Served:
+		r.finish(q, nil)
+	case ev.Result == ReadDone:
+		q.reader, q.stateAt = a.s, r.now
+		r.place(q)
+	default:
+		r.again(q, a, ev)
+	}
+	if q.ended && q.out == 0 {
+		delete(r.reqs, q.ID)
+	}
+}
+
+// settle books an attempt out and learns from its outcome.
+func (r *Router) settle(q *request, a *attempt, ev Outcome) {
+	s := a.s
+	r.age(s)
+	a.out = false
+	q.out--
+	s.n--
+	s.tokens = max(s.tokens-a.charge, 0)
+	switch ev.Result {
+	case ReadDone:
+		r.readDone(q, a, ev)
+	case Served:
+		s.done, s.count = s.done+1, s.count+1
+	case Errored:
+		r.learn(s, a, true, failGain, false)
+	case TimedOut:
+		r.learn(s, a, r.now < q.Due || a.at+time.Second < r.now, failGain, false)
+		if a.write {
+			r.firstTime += 0.02 * (ev.Elapsed.Seconds() - r.firstTime)
+		}
+	case ConnectFailed, Reset:
+		r.learn(s, a, true, 2*failGain, false)
+	case Turned:
+		if !ev.NoState {
+			s.full = r.now + fullPause
+		}
+	}
+	if a.write && !q.ended && mayHaveRun(ev.Result) && !q.ran {
+		q.ran, q.ranOn, q.ranAt = true, s, a.at
+	}
+}
+
+func (r *Router) readDone(q *request, a *attempt, ev Outcome) {
+	s, sec := a.s, ev.Elapsed.Seconds()
+	r.readPace += 0.05 * (sec/max(a.ahead, 200) - r.readPace)
+	fresh := max(q.PromptLen-ev.Kept, 0) + 200
+	r.newTokens[q.Class] += 0.05 * (fresh - r.newTokens[q.Class])
+	s.done, s.count = s.done+fresh, s.count+1
+	if len(s.kept) > keptMax {
+		s.kept = map[uint64]float64{}
+	}
+	if q.Prefix != 0 {
+		s.kept[q.Prefix] = q.PrefixLen
+	}
+	if q.Session != 0 {
+		s.kept[q.Session] = q.PromptLen
+	}
+	r.learn(s, a, false, failGain, sec < patience*a.ahead*r.readPace+0.5)
+}
+
+func mayHaveRun(res Result) bool {
+	return res == Errored || res == TimedOut || res == Reset || res == Cancelled
+}
+
+// place sends a read request to a writer; if none may be sent to, it waits for part of the release time.
+func (r *Router) place(q *request) {
+	if s := r.writer(q, false); s != nil && len(q.att) < r.set.MaxAttempts && r.now < q.Due {
+		r.send(q, s, true)
+		return
+	}
+	if len(q.att) >= r.set.MaxAttempts || r.now >= q.Due {
+		r.finish(q, r.no(q))
+		return
+	}
+	r.parked = append(r.parked, q)
+}
+
+// unpark tries parked requests again and lets go of what has waited long enough.
+func (r *Router) unpark() {
+	waiting := r.parked
+	r.parked = nil
+	for _, q := range waiting {
+		limit := q.stateAt + time.Duration(parkPart*float64(r.set.ReleaseWithin))
+		switch {
+		case q.ended:
+		case q.reader == nil || r.now >= limit || r.now+margin >= q.Due:
+			r.finish(q, r.no(q))
+		default:
+			r.place(q)
+		}
+	}
+}
+
+// again decides after a failed attempt: another, or the final answer at once.
+func (r *Router) again(q *request, a *attempt, ev Outcome) {
+	if r.now >= q.Due || len(q.att) >= r.set.MaxAttempts || q.ran && q.class.Effect == Unsafe || q.out > 0 {
+		if q.out == 0 {
+			r.finish(q, r.no(q))
+		}
+		return
+	}
+	if a.write && q.reader != nil && !ev.NoState {
+		q.stateAt = r.now
+		r.place(q)
+		return
+	}
+	q.reader = nil
+	if q.ran && q.class.Effect == Keyed {
+		r.finish(q, r.no(q))
+		return
+	}
+	r.held = append(r.held, q)
+}
+
+// no is the final answer to a request that is given up: a refusal where trying again is harmless, else a
+// failure.
+func (r *Router) no(q *request) Action {
+	risky := q.ran || q.writeOut()
+	if risky && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
+		return Fail{q.ID}
+	}
+	wait := max(pauseLeast, time.Duration(len(r.held))*10*time.Millisecond)
+	return Refuse{Request: q.ID, Wait: min(wait, r.set.MaxWait)}
+}
+
+func (q *request) writeOut() bool {
+	for i := range q.att {
+		if q.att[i].out && q.att[i].write {
+			return true
+		}
+	}
+	return false
+}
+
+// finish is the one place where a request ends. It answers, calls off what is out and lets go of what is
+// held.
+func (r *Router) finish(q *request, answer Action) {
+	q.ended = true
+	if answer != nil {
+		r.emit(answer)
+	}
+	for i := range q.att {
+		if q.att[i].out && !q.started && r.set.CanCancel {
+			r.emit(Cancel{q.ID, i})
+		}
+	}
+	if q.read && !q.started {
+		r.emit(Release{q.ID})
+	}
+	r.held, r.parked = without(r.held, q), without(r.parked, q)
+	if q.out == 0 {
+		delete(r.reqs, q.ID)
+	}
+}
+
+func without(qs []*request, q *request) []*request {
+	for i := range qs {
+		if qs[i] == q {
+			return append(qs[:i], qs[i+1:]...)
+		}
+	}
+	return qs
+}
+
+// ---- Small helpers ----
+
+// mix is a 64-bit finaliser; every front hashes alike.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+func less(a, b [6]float64) bool {
+	for i := range a {
+		if a[i] != b[i] {
+			return a[i] < b[i]
+		}
+	}
+	return false
+}
+
+func b2f(v bool) float64 {
+	if v {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,117 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"brackenbend/choice"
+)
+
+type bootClass struct {
+	Name                      string
+	Promise, Deadline, Window float64
+	Importance, LateWorth     float64
+	Repeat, Group             string
+}
+
+type boot struct {
+	Balancers  int
+	Zone       int
+	Discovery  string
+	Kinds      []string
+	Classes    []bootClass
+	Tenants    []struct{ QuotaPerS, Share float64 }
+	FamilyInfo struct {
+		Ahead, LocalRead, Resume           bool
+		AimUsPer1000PromptTokens, TokenAim []float64
+		KindRole                           []string
+		KvTokens                           []float64
+		Release                            float64
+	}
+	Caps struct {
+		AttemptsCap          int
+		Cancel, SecondCopies bool
+		MaxRetryAfter        float64
+	}
+	Invariants struct {
+		AskWithin, Cold, ColdFrom, GraceToAnswer, OverloadFactor, StopSendingWithin, TipAfter float64
+	}
+	OverShareWorth float64
+	Report         struct{ Fields []string }
+}
+
+var (
+	roles   = map[string]choice.Role{"read": choice.Reader, "write": choice.Writer, "both": choice.Mixed}
+	effects = map[string]choice.Effect{"free": choice.Safe, "guarded": choice.Keyed, "single_shot": choice.Unsafe}
+	groups  = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone,
+		"cell": choice.GroupCell}
+)
+
+// ParseSettings maps the settings text to the module's terms. Unknown keys are skipped; absent ones are zero, which
+// choice.Settings documents.
+func ParseSettings(text []byte) (choice.Settings, error) {
+	var b boot
+	if err := json.Unmarshal(text, &b); err != nil {
+		return choice.Settings{}, fmt.Errorf("settings: %w", err)
+	}
+	f, inv := b.FamilyInfo, b.Invariants
+	s := choice.Settings{
+		Fronts: b.Balancers, Zone: b.Zone, OverShareWorth: b.OverShareWorth,
+		MaxAttempts: b.Caps.AttemptsCap, CanCancel: b.Caps.Cancel, SecondCopies: b.Caps.SecondCopies,
+		MaxWait: us(b.Caps.MaxRetryAfter), Ahead: f.Ahead, WritersRead: f.LocalRead, Resume: f.Resume,
+		ReleaseWithin: us(f.Release), AnswerSlack: us(inv.GraceToAnswer), DrainGrace: us(inv.StopSendingWithin),
+		ColdFrom: inv.ColdFrom, ColdFor: us(inv.Cold), OverloadFactor: inv.OverloadFactor, TipAfter: us(inv.TipAfter),
+		AskForList: b.Discovery == "ask", AskWithin: us(inv.AskWithin), ReportFields: b.Report.Fields,
+	}
+	for _, t := range b.Tenants {
+		s.Tenants = append(s.Tenants, choice.Tenant{QuotaPerS: t.QuotaPerS, Share: t.Share})
+	}
+	if err := addKinds(&s, b); err != nil {
+		return s, err
+	}
+	return s, addClasses(&s, b)
+}
+
+func addKinds(s *choice.Settings, b boot) error {
+	for i := range max(len(b.Kinds), len(b.FamilyInfo.KindRole)) {
+		k := choice.Kind{Role: choice.Mixed}
+		if i < len(b.FamilyInfo.KindRole) {
+			role, ok := roles[b.FamilyInfo.KindRole[i]]
+			if !ok {
+				return fmt.Errorf("settings: FamilyInfo.KindRole[%d]: unknown role %q", i, b.FamilyInfo.KindRole[i])
+			}
+			k.Role = role
+		}
+		k.Memory = at(b.FamilyInfo.KvTokens, i)
+		s.Kinds = append(s.Kinds, k)
+	}
+	return nil
+}
+
+func addClasses(s *choice.Settings, b boot) error {
+	for i, c := range b.Classes {
+		effect, ok := effects[c.Repeat]
+		if !ok {
+			return fmt.Errorf("settings: Classes[%d].Repeat: unknown %q", i, c.Repeat)
+		}
+		group, ok := groups[c.Group]
+		if !ok {
+			return fmt.Errorf("settings: Classes[%d].Group: unknown %q", i, c.Group)
+		}
+		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Aim: us(c.Promise), Deadline: us(c.Deadline),
+			AimPer1000: us(at(b.FamilyInfo.AimUsPer1000PromptTokens, i)), TokenAim: us(at(b.FamilyInfo.TokenAim, i)),
+			Worth: c.Importance, LateWorth: c.LateWorth, Effect: effect, Group: group, Window: us(c.Window)})
+	}
+	return nil
+}
+
+func at(v []float64, i int) float64 {
+	if i < len(v) {
+		return v[i]
+	}
+	return 0
+}
+
+// us takes microseconds as the settings give them.
+func us(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
