Judge failures against the role's others: when all time out none is to blame

Cause: under overload each server's time-outs passed the limit in turn and it was put aside, which loaded the rest. It could hurt where more than half of a role fails at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -342,11 +342,26 @@
 		}
 	case s.bad && a.trial && !failed:
 		r.aside(s, "trial slow")
-	case !s.bad && s.fail > failBad:
+	case !s.bad && s.fail > failBad+r.peersFail(s):
 		r.aside(s, "failing")
 	}
 }
 
+// peersFail is the median failing share of the other servers of the role of s: what is not its own fault.
+func (r *Router) peersFail(s *server) float64 {
+	var other []float64
+	for _, p := range r.servers {
+		if p.role == s.role && p.listed && p != s {
+			other = append(other, p.fail)
+		}
+	}
+	if len(other) == 0 {
+		return 1
+	}
+	sort.Float64s(other)
+	return other[len(other)/2]
+}
+
 // ---- Room: one notion for caps, cold budgets, trials and servers that turned work away ----
 
 // room tells whether s takes a further own attempt of so many tokens. A server put aside takes one trial
