Refuse held requests that can't make their aim, at once

Cause: under overload held requests were sent long after their aim and took writers from those still in time.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -506,7 +506,8 @@
 // again later may still help its client.
 func (r *Router) hopeless(q *request) bool {
 	need := time.Duration((r.newTokens[q.Class]*r.readPace/4 + r.firstTime/4) * float64(time.Second))
-	return r.now+max(margin, need) >= q.Due || len(q.att) >= r.set.MaxAttempts
+	aim := q.class.Aim + time.Duration(q.PromptLen/1000*float64(q.class.AimPer1000))
+	return r.now+max(margin, need) >= min(q.Due, q.at+aim) || len(q.att) >= r.set.MaxAttempts
 }
 
 // launch sends a held request to a reader, or whole to a mixed server, if there is room for it.
