Keep prefixes home in a jam, bound unread tokens at mixed servers, leave hurt links, drop learned caps

Only the first two usable readers of the order are asked now. - mixed servers took 0.3 to 3 s to a first token: their own unread tokens had no bound. Now the readers' bound holds. - moves out of one cell took 0.3 to 0.9 s against 0.03 s inside: while so, writers of that cell with room go first. - time-outs at 4 times the usual wasted work in overload; now 8 times.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,7 +8,7 @@
 	"cmp"
 	"fmt"
 	"math"
-	"sort"
+	"slices"
 	"time"
 )
 
@@ -20,9 +20,13 @@
 	promoteEvery = 4                      // ... but at most every so many releases
 	readCap      = 6                      // own reads at a reader
 	readBound    = 300 * time.Millisecond // own prompt tokens waiting at a reader, as reading time there
-	streamCap    = 64                     // own streams at a writer
+	spillMost    = 2                      // servers of the hash order that may read a prefix
 	memoryShare  = 0.95                   // part of its share of a writer's memory that a front fills
+	hopGain      = 0.1                    // weight of the newest move
+	farTimes     = 3.0                    // moves out of a cell taking so many times those inside, ...
+	farMore      = 0.25                   // ... and so many seconds more, make writers of the cell go first
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
+	coldPart     = 0.6                    // of its budget, the part that a cold server is sent
 	mixedWeight  = 0.6                    // what a mixed server takes, whole requests, against a writer
 	keptMax      = 20000                  // remembered prefixes and sessions a server
 
@@ -40,7 +44,7 @@
 	// Time-outs and final answers.
 	readLeast  = 800 * time.Millisecond  // least time-out of a read
 	firstLeast = 1500 * time.Millisecond // least time-out of a writer's first token
-	patience   = 4.0                     // time-outs, as a multiple of the usual time
+	patience   = 8.0                     // time-outs, as a multiple of the usual time
 	margin     = 30 * time.Millisecond   // final answers of held requests come this long before Due
 	pauseLeast = 200 * time.Millisecond  // least advised wait
 	parkPart   = 0.5                     // part of the release time that a read state may wait for a writer
@@ -57,12 +61,14 @@
 	reqs      map[RequestID]*request
 	held      []*request // waiting for room, no state anywhere
 	parked    []*request // read, waiting for a writer
+	order     []ranked   // used again by home
 	tenants   []bucket
-	newTokens []float64 // mean unread tokens of a prompt, by class
-	readPace  float64   // mean reading seconds a token, own queue included
-	firstTime float64   // mean seconds from a writer's send to the first token
-	mixedDebt float64   // whole requests that mixed servers have yet to take
-	released  int       // releases since the last promotion
+	newTokens []float64    // mean unread tokens of a prompt, by class
+	readPace  float64      // mean reading seconds a token, own queue included
+	firstTime float64      // mean seconds from a writer's send to the first token
+	hops      map[int]*hop // first-token times by the reader's cell
+	mixedDebt float64      // whole requests that mixed servers have yet to take
+	released  int          // releases since the last promotion
 	beating   bool
 	askAt     time.Duration
 }
@@ -74,9 +80,11 @@
 	listed bool
 	n      int     // own attempts out
 	tokens float64 // charged to them
+	unread float64 // own prompt tokens waiting to be read there
+	pace1  float64 // seconds a waiting token takes, own queue included
 	kept   map[uint64]float64
-	full   time.Duration // no room until
-	sends  []sent        // to a cold server, in the last window
+	full   time.Duration   // no room until
+	sends  []time.Duration // to a cold server, in the last window
 
 	fail       float64 // share of late outcomes that failed
 	done, load float64 // work finished, time with work out; both fade
@@ -88,11 +96,6 @@
 	trials     int
 }
 
-type sent struct {
-	at     time.Duration
-	weight float64
-}
-
 // attempt is one send of a request.
 type attempt struct {
 	s      *server
@@ -101,26 +104,37 @@
 	trial  bool
 	at     time.Duration
 	charge float64
-	ahead  float64 // own tokens at the server, this prompt's included
+	unread float64 // of the prompt, while it waits to be read
+	ahead  float64 // own unread tokens at the server, this prompt's included
 }
 
 // request is one request from its arrival until its last attempt has an outcome.
 type request struct {
 	Request
-	class    *Class
-	at       time.Duration
-	att      []attempt
-	out      int
-	reader   *server // where its read state waits
-	stateAt  time.Duration
-	read     bool // some read was sent: state may be held
-	ran      bool // an attempt may have run, on
-	ranOn    *server
-	ranAt    time.Duration
-	started  bool // its stream runs
-	over     bool // beyond its tenant's share
-	ended    bool
-	promoted bool
+	class   *Class
+	at      time.Duration
+	att     []attempt
+	out     int
+	reader  *server // where its read state waits, ...
+	from    *server // ... or was when it was last sent to a writer
+	stateAt time.Duration
+	read    bool // some read was sent: state may be held
+	ran     bool // an attempt may have run, on
+	ranOn   *server
+	ranAt   time.Duration
+	started bool // its stream runs
+	over    bool // beyond its tenant's share
+	ended   bool
+}
+
+// hop is what a state's move from a reader's cell takes, to a writer of the cell and to others.
+type hop struct{ near, far float64 }
+
+// ranked is a server in the hash order of a prefix.
+type ranked struct {
+	s     *server
+	tried bool
+	hash  uint64
 }
 
 type bucket struct{ level, rate float64 }
@@ -138,7 +152,7 @@
 		s.ColdFrom = 0.25
 	}
 	r := &Router{set: s, salt: seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
-		newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
+		hops: map[int]*hop{}, newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
 	for _, t := range s.Tenants {
 		rate := t.QuotaPerS / float64(s.Fronts)
 		r.tenants = append(r.tenants, bucket{level: 2 * rate, rate: rate})
@@ -164,7 +178,7 @@
 	r.watch()
 	r.unpark()
 	r.dispatch()
-	if len(r.reqs) > 0 && !r.beating {
+	if (len(r.reqs) > 0 || r.set.AskForList) && !r.beating {
 		r.beating = true
 		r.emit(Wake{After: beat, Tag: 1})
 	}
@@ -207,17 +221,17 @@
 	for _, e := range l.Servers {
 		r.line(e)
 	}
-	sort.Slice(r.servers, func(i, j int) bool { return r.servers[i].ID < r.servers[j].ID })
+	slices.SortFunc(r.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // line takes one entry. A later start means a new process: empty, cold, and of unknown health.
 func (r *Router) line(e Server) {
+	if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
+		return
+	}
 	s := r.byID[e.ID]
 	if s == nil {
-		if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
-			return
-		}
-		s = &server{Server: e, role: r.set.Kinds[e.Kind].Role, kept: map[uint64]float64{}, seen: r.now}
+		s = &server{Server: e, kept: map[uint64]float64{}, seen: r.now, pace1: r.readPace}
 		r.byID[e.ID] = s
 		r.servers = append(r.servers, s)
 	}
@@ -225,14 +239,7 @@
 		s.kept = map[uint64]float64{}
 		s.fresh(r.now)
 	}
-	s.Server, s.listed = e, e.State == Ready
-	if e.State == Gone { // what waits there is lost
-		for _, q := range r.parked {
-			if q.reader == s {
-				q.reader = nil
-			}
-		}
-	}
+	s.Server, s.role, s.listed = e, r.set.Kinds[e.Kind].Role, e.State == Ready
 }
 
 // watch asks for the list where it must be asked for.
@@ -279,40 +286,44 @@
 	for _, s := range r.servers {
 		r.age(s)
 	}
-	for role := Reader; role <= Mixed; role++ {
-		var peers []*server
-		aside := 0
-		for _, s := range r.servers {
-			if s.role == role && s.listed && !r.cold(s) {
-				peers = append(peers, s)
-				if s.bad {
-					aside++
-				}
-			}
+	for _, s := range r.servers {
+		if s.bad || !r.warm(s, s.role) {
+			continue
 		}
-		for _, s := range peers {
-			if s.bad || 2*(aside+1) > len(peers) {
-				continue
-			}
-			var other []float64
-			piece, pieces := 0.0, 0.0
-			for _, p := range peers {
-				if p != s && !p.bad && p.load > 0.5 {
-					other = append(other, p.pace())
-					piece, pieces = piece+p.done, pieces+p.count
-				}
-			}
-			if len(other) == 0 || pieces < 1 {
+		var other []float64
+		work, pieces, peers, aside := 0.0, 0.0, 1, 1
+		for _, p := range r.servers {
+			if p == s || !r.warm(p, s.role) {
 				continue
 			}
-			sort.Float64s(other)
-			due := other[(len(other)-1)/2] * s.load
-			if due*pieces/piece > enoughFor && s.done < slowPart*due {
-				r.aside(s, "slow or silent")
+			peers++
+			if p.bad {
 				aside++
+			} else if p.load > 0.5 {
+				other = append(other, p.pace())
+				work, pieces = work+p.done, pieces+p.count
 			}
 		}
+		if len(other) == 0 || pieces < 1 || 2*aside > peers {
+			continue
+		}
+		due := median(other) * s.load
+		if due*pieces/work > enoughFor && s.done < slowPart*due {
+			r.aside(s, "slow or silent")
+		}
+	}
+}
+
+// warm tells whether s is a listed server of the role that has been running for a while.
+func (r *Router) warm(s *server, role Role) bool { return s.role == role && s.listed && !r.cold(s) }
+
+// median takes the lower one of an even number; of none it is 1.
+func median(v []float64) float64 {
+	if len(v) == 0 {
+		return 1
 	}
+	slices.Sort(v)
+	return v[(len(v)-1)/2]
 }
 
 func (r *Router) aside(s *server, why string) {
@@ -325,11 +336,7 @@
 // learn takes one outcome into the health of its server. A failed connection or a broken one speaks louder
 // than an error: the process is likely gone, long before the list says so.
 func (r *Router) learn(s *server, a *attempt, failed bool, gain float64, usual bool) {
-	v := 0.0
-	if failed {
-		v = 1
-	}
-	s.fail += gain * (v - s.fail)
+	s.fail += gain * (b2f(failed) - s.fail)
 	switch {
 	case s.bad && failed && r.now >= s.back:
 		r.aside(s, "trial failed")
@@ -349,44 +356,50 @@
 
 // peersFail is the median failing share of the other servers of the role of s: what is not its own fault.
 func (r *Router) peersFail(s *server) float64 {
-	var other []float64
+	other := []float64{}
 	for _, p := range r.servers {
 		if p.role == s.role && p.listed && p != s {
 			other = append(other, p.fail)
 		}
 	}
-	if len(other) == 0 {
-		return 1
-	}
-	sort.Float64s(other)
-	return other[len(other)/2]
+	return median(other)
 }
 
 // ---- Room: one notion for caps, cold budgets, trials and servers that turned work away ----
 
-// room tells whether s takes a further own attempt of so many tokens. A server put aside takes one trial
-// at a time.
-func (r *Router) room(s *server, q *request, tokens float64) bool {
-	if !s.listed || r.now < s.full || !r.coldRoom(s, q) {
+// room tells whether s takes a further own attempt. A server put aside takes one trial at a time.
+func (r *Router) room(s *server, q *request) bool {
+	switch {
+	case !r.usable(s, q) || r.now < s.full:
 		return false
-	}
-	if s.bad {
-		return s.n == 0 && r.now >= s.back && (s.role == Reader || q.class.Effect == Safe)
-	}
-	if s.n == 0 {
+	case s.n == 0:
 		return true
+	case s.role == Reader && s.n >= readCap:
+		return false
 	}
-	if s.role == Reader {
-		return s.n < readCap && (s.tokens+tokens)*r.readPace < readBound.Seconds()
+	waiting := s.unread
+	if s.role == Reader || s.role == Mixed && q.reader == nil {
+		waiting += r.unread(q, s)
+	}
+	fits := s.role == Reader || s.tokens+q.memoryNeed() <= r.memory(s)
+	return fits && waiting*s.pace1 <= readBound.Seconds()
+}
+
+// usable tells whether anything may go to s at all. A server put aside takes one trial at a time, unless
+// all of its role are: then the least bad serve.
+func (r *Router) usable(s *server, q *request) bool {
+	if !s.listed || !r.coldRoom(s) {
+		return false
 	}
-	return s.n < streamCap && s.tokens+tokens <= r.memory(s)
+	trial := s.n == 0 && r.now >= s.back && (s.role == Reader || q.class.Effect == Safe)
+	return !s.bad || trial || r.well(s.role) == 0
 }
 
 // memory is the part of a writer's memory that own streams may fill.
 func (r *Router) memory(s *server) float64 {
 	m := r.set.Kinds[s.Kind].Memory
 	if m == 0 {
-		return math.MaxFloat64
+		return math.MaxInt64
 	}
 	m *= memoryShare / float64(r.set.Fronts)
 	if r.cold(s) {
@@ -395,42 +408,51 @@
 	return m
 }
 
-// weight is what a send counts on a cold server: the mean work of its class.
-func (r *Router) weight(s *server, q *request) float64 {
-	if s.role == Reader {
-		return max(r.newTokens[q.Class], 1)
+// moved learns how long a state took from its reader's cell to a writer's first token.
+func (r *Router) moved(q *request, to *server, took time.Duration) {
+	if q.from == nil {
+		return
+	}
+	h := r.hops[q.from.Cell]
+	if h == nil {
+		h = &hop{}
+		r.hops[q.from.Cell] = h
 	}
-	return 1
+	v := &h.near
+	if to.Cell != q.from.Cell {
+		v = &h.far
+	}
+	*v += hopGain * (took.Seconds() - *v)
+}
+
+// farSlow tells that states leave the reader's cell much later than they reach a writer inside it: the
+// cell's link is crowded or hurt. While it is so, writers of the cell with room go before the others.
+func (r *Router) farSlow(q *request) bool {
+	if q.reader == nil || r.hops[q.reader.Cell] == nil {
+		return false
+	}
+	h := r.hops[q.reader.Cell]
+	return h.far > farTimes*h.near+farMore
 }
 
 // coldRoom keeps a server that has just started within its budget: what warm peers of its role finish is
 // less than they can do, and each front counts only its own, so that all fronts together stay under the
-// whole.
-func (r *Router) coldRoom(s *server, q *request) bool {
+// whole. The first send of a window is always allowed.
+func (r *Router) coldRoom(s *server) bool {
 	if !r.cold(s) {
 		return true
 	}
-	window := r.set.TipAfter
-	for len(s.sends) > 0 && r.now-s.sends[0].at > window {
+	for len(s.sends) > 0 && r.now-s.sends[0] > r.set.TipAfter {
 		s.sends = s.sends[1:]
 	}
-	if len(s.sends) == 0 {
-		return true
-	}
-	rate, n := 0.0, 0.0
+	done, n := 0.0, 0.0
 	for _, p := range r.servers {
-		if p.role == s.role && p.listed && !r.cold(p) {
-			rate, n = rate+p.done/memory.Seconds(), n+1
+		if r.warm(p, s.role) {
+			done, n = done+p.count/memory.Seconds(), n+1
 		}
 	}
-	if n == 0 {
-		return false
-	}
-	used := r.weight(s, q)
-	for _, e := range s.sends {
-		used += e.weight
-	}
-	return used <= 0.7*r.set.OverloadFactor*r.set.ColdFrom*window.Seconds()*rate/n
+	budget := coldPart * r.set.OverloadFactor * r.set.ColdFrom * r.set.TipAfter.Seconds() * done / max(n, 1)
+	return len(s.sends) == 0 || float64(len(s.sends)+1) <= budget
 }
 
 // ---- Requests ----
@@ -457,15 +479,9 @@
 	if len(r.held) == 0 {
 		return
 	}
-	sort.SliceStable(r.held, func(i, j int) bool {
-		a, b := r.held[i], r.held[j]
-		if a.over != b.over {
-			return b.over
-		}
-		if a.PromptLen != b.PromptLen {
-			return a.PromptLen < b.PromptLen
-		}
-		return a.ID < b.ID
+	slices.SortFunc(r.held, func(a, b *request) int {
+		return cmp.Or(cmp.Compare(b2f(a.over), b2f(b.over)), cmp.Compare(a.PromptLen, b.PromptLen),
+			cmp.Compare(a.ID, b.ID))
 	})
 	waiting := r.held
 	r.held = nil
@@ -512,22 +528,21 @@
 
 // launch sends a held request to a reader, or whole to a mixed server, if there is room for it.
 func (r *Router) launch(q *request) bool {
-	readers, writers, mixed := r.pools()
-	whole := mixed > 0 && (readers == 0 || r.mixedDebt >= 1)
-	if whole {
+	readers, mixed := r.any(Reader), r.well(Mixed)
+	if r.any(Mixed) && (!readers || r.mixedDebt >= 1) {
 		if s := r.home(q, Mixed); s != nil {
 			r.mixedDebt = max(r.mixedDebt-1, -1)
 			r.send(q, s, true)
 			return true
 		}
 	}
-	if readers == 0 && r.set.WritersRead {
+	if !readers && r.set.WritersRead {
 		if s := r.writer(q, true); s != nil {
 			r.send(q, s, true)
 			return true
 		}
 	}
-	if readers == 0 || !r.writerRoom(q) {
+	if !readers || !r.writerRoom(q) {
 		return false
 	}
 	s := r.home(q, Reader)
@@ -536,56 +551,46 @@
 	}
 	if mixed > 0 {
 		m := mixedWeight * mixed
-		r.mixedDebt = min(r.mixedDebt+m/(m+writers), 2)
+		r.mixedDebt = min(r.mixedDebt+m/(m+r.well(Writer)), 2)
 	}
 	r.send(q, s, false)
 	return true
 }
 
-// pools counts the usable servers of each role.
-func (r *Router) pools() (readers, writers, mixed float64) {
+// well counts the listed servers of a role that are not put aside, any the listed ones.
+func (r *Router) well(role Role) (n float64) {
 	for _, s := range r.servers {
-		if s.listed && !s.bad {
-			switch s.role {
-			case Reader:
-				readers++
-			case Writer:
-				writers++
-			case Mixed:
-				mixed++
-			}
-		}
+		n += b2f(s.role == role && s.listed && !s.bad)
 	}
-	return
+	return n
+}
+
+func (r *Router) any(role Role) bool {
+	return slices.ContainsFunc(r.servers, func(s *server) bool { return s.role == role && s.listed })
 }
 
 // home walks the servers of a role in the hash order of the request's prefix and returns the first with
 // room. The order is over all known servers, so one that is put aside or spills does not move the homes of
-// others.
+// others. Only the first spillMost that may be sent to at all are asked: when all are busy, a prompt read
+// far down the order costs far more than it would at home, pushes out what others keep there, and so makes
+// the jam that it flees.
 func (r *Router) home(q *request, role Role) *server {
-	key := q.Prefix
-	if key == 0 {
-		key = q.Session
-	}
-	var best, again *server
-	var bestHash, againHash uint64
+	key := cmp.Or(q.Prefix, q.Session)
+	r.order = r.order[:0]
 	for _, s := range r.servers {
-		if s.role != role || !r.room(s, q, r.unread(q, s)) {
-			continue
-		}
-		h := mix(key ^ mix(uint64(s.ID)))
-		if q.triedOn(s) {
-			if again == nil || h > againHash {
-				again, againHash = s, h
-			}
-		} else if best == nil || h > bestHash {
-			best, bestHash = s, h
+		if s.role == role && r.usable(s, q) {
+			r.order = append(r.order, ranked{s, q.triedOn(s), mix(key ^ mix(uint64(s.ID)))})
 		}
 	}
-	if best == nil {
-		return again
+	slices.SortFunc(r.order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b2f(a.tried), b2f(b.tried)), cmp.Compare(b.hash, a.hash))
+	})
+	for _, e := range r.order[:min(spillMost, len(r.order))] {
+		if r.room(e.s, q) {
+			return e.s
+		}
 	}
-	return best
+	return nil
 }
 
 // unread guesses the prompt tokens that s has yet to read.
@@ -599,19 +604,16 @@
 
 // writerRoom tells whether some writer has room beyond what is being read for the writers now.
 func (r *Router) writerRoom(q *request) bool {
-	reading, room := 0.0, 0.0
-	any := false
+	reading, room, found := 0.0, 0.0, false
 	for _, s := range r.servers {
 		if s.role == Reader {
 			reading += float64(s.n) * q.memoryNeed()
-			continue
-		}
-		if r.room(s, q, q.memoryNeed()) {
-			any = true
-			room += min(r.memory(s)-s.tokens, 1e12)
+		} else if r.room(s, q) {
+			found = true
+			room += r.memory(s) - s.tokens
 		}
 	}
-	return any && room > reading
+	return found && room > reading
 }
 
 // writer picks the writer with the fewest own streams, ties to the reader's cell, then its zone. If none
@@ -619,25 +621,22 @@
 // come last.
 func (r *Router) writer(q *request, needRoom bool) *server {
 	var best *server
-	var bestRank [6]float64
-	_, writers, _ := r.pools()
+	var bestRank [7]float64
+	stay, writers := r.farSlow(q), r.any(Writer)
 	for _, s := range r.servers {
-		spared := s.role == Reader || s.role == Mixed && q.reader != nil && writers > 0
+		spared := s.role == Reader || s.role == Mixed && q.reader != nil && writers && !stay
 		if spared || !s.listed || !r.allowed(q, s) {
 			continue
 		}
-		room := r.room(s, q, q.memoryNeed())
-		if needRoom && !room || !room && !r.coldRoom(s, q) {
+		room := r.room(s, q)
+		if needRoom && !room || !room && !r.coldRoom(s) {
 			continue
 		}
 		tie := float64(mix(r.salt^uint64(s.ID)) >> 12)
-		rank := [6]float64{b2f(!room), b2f(!room && s.bad), b2f(q.triedOn(s)), float64(s.n), 2, tie}
-		if q.reader != nil && s.Cell == q.reader.Cell {
-			rank[4] = 0
-		} else if q.reader != nil && s.Zone == q.reader.Zone {
-			rank[4] = 1
-		}
-		if best == nil || less(rank, bestRank) {
+		away, abroad := q.reader != nil && s.Cell != q.reader.Cell, q.reader != nil && s.Zone != q.reader.Zone
+		rank := [7]float64{b2f(!room) + b2f(!room && s.bad), b2f(q.triedOn(s)), b2f(stay && away),
+			float64(s.n), b2f(away), b2f(abroad), tie}
+		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
 			best, bestRank = s, rank
 		}
 	}
@@ -663,47 +662,38 @@
 }
 
 func (q *request) triedOn(s *server) bool {
-	for i := range q.att {
-		if q.att[i].s == s && q.att[i].write == (s.role != Reader) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(q.att, func(a attempt) bool { return a.s == s })
 }
 
 // send starts an attempt and books what it takes.
 func (r *Router) send(q *request, s *server, write bool) {
 	a := attempt{s: s, out: true, write: write, at: r.now, trial: s.bad}
-	a.charge = r.unread(q, s)
-	if s.role != Reader {
-		a.charge = q.memoryNeed()
+	a.charge = q.memoryNeed()
+	if q.reader == nil {
+		a.unread = r.unread(q, s)
 	}
 	r.age(s)
 	s.n++
 	s.tokens += a.charge
-	a.ahead = s.tokens
+	s.unread += a.unread
+	a.ahead = s.unread
 	if r.cold(s) {
-		s.sends = append(s.sends, sent{r.now, r.weight(s, q)})
+		s.sends = append(s.sends, r.now)
 	}
 	q.att = append(q.att, a)
 	q.out++
 	q.read = q.read || !write
+	q.from = q.reader
 	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a)})
 }
 
 // timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves.
 func (r *Router) timeout(q *request, a *attempt) time.Duration {
-	left := r.set.MaxAttempts - len(q.att)
-	usual, least := a.ahead*r.readPace, readLeast
+	usual, least, more := a.ahead*max(r.readPace, a.s.pace1), readLeast, 2
 	if a.write {
-		if q.class.Effect != Safe || left < 1 {
-			return 0
-		}
-		usual, least = r.firstTime, firstLeast
-		if a.s.role == Mixed || q.reader == nil {
-			usual += a.charge * r.readPace
-		}
-	} else if left < 2 {
+		usual, least, more = usual+r.firstTime, firstLeast, 1
+	}
+	if r.set.MaxAttempts-len(q.att) < more || a.write && q.class.Effect != Safe {
 		return 0
 	}
 	return max(least, time.Duration(patience*usual*float64(time.Second)))
@@ -719,6 +709,11 @@
 	if a.s.role == Writer {
 		r.firstTime += 0.05 * (ev.Elapsed.Seconds() - r.firstTime)
 	}
+	if a.unread > 0 {
+		r.paced(a, ev.Elapsed)
+	}
+	r.readEnd(a)
+	r.moved(q, a.s, ev.Elapsed)
 	r.learn(a.s, a, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
 }
 
@@ -756,6 +751,7 @@
 	q.out--
 	s.n--
 	s.tokens = max(s.tokens-a.charge, 0)
+	r.readEnd(a)
 	switch ev.Result {
 	case ReadDone:
 		r.readDone(q, a, ev)
@@ -766,6 +762,7 @@
 	case TimedOut:
 		r.learn(s, a, r.now < q.Due || a.at+time.Second < r.now, failGain, false)
 		if a.write {
+			r.moved(q, s, ev.Elapsed)
 			r.firstTime += 0.02 * (ev.Elapsed.Seconds() - r.firstTime)
 		}
 	case ConnectFailed, Reset:
@@ -780,9 +777,24 @@
 	}
 }
 
+// readEnd books a prompt out of what waits to be read.
+func (r *Router) readEnd(a *attempt) {
+	a.s.unread = max(a.s.unread-a.unread, 0)
+	a.unread = 0
+}
+
+// pace learns how long a waiting prompt token takes at s, and over all readers.
+func (r *Router) paced(a *attempt, took time.Duration) {
+	v := took.Seconds() / max(a.ahead, 200)
+	a.s.pace1 += 0.1 * (v - a.s.pace1)
+	if a.s.role == Reader {
+		r.readPace += 0.05 * (v - r.readPace)
+	}
+}
+
 func (r *Router) readDone(q *request, a *attempt, ev Outcome) {
 	s, sec := a.s, ev.Elapsed.Seconds()
-	r.readPace += 0.05 * (sec/max(a.ahead, 200) - r.readPace)
+	r.paced(a, ev.Elapsed)
 	fresh := max(q.PromptLen-ev.Kept, 0) + 200
 	r.newTokens[q.Class] += 0.05 * (fresh - r.newTokens[q.Class])
 	s.done, s.count = s.done+fresh, s.count+1
@@ -804,15 +816,15 @@
 
 // place sends a read request to a writer; if none may be sent to, it waits for part of the release time.
 func (r *Router) place(q *request) {
-	if s := r.writer(q, false); s != nil && len(q.att) < r.set.MaxAttempts && r.now < q.Due {
-		r.send(q, s, true)
-		return
-	}
-	if len(q.att) >= r.set.MaxAttempts || r.now >= q.Due {
+	s := r.writer(q, false)
+	switch {
+	case len(q.att) >= r.set.MaxAttempts || r.now >= q.Due:
 		r.finish(q, r.no(q))
-		return
+	case s != nil:
+		r.send(q, s, true)
+	default:
+		r.parked = append(r.parked, q)
 	}
-	r.parked = append(r.parked, q)
 }
 
 // unpark tries parked requests again and lets go of what has waited long enough.
@@ -822,8 +834,7 @@
 	for _, q := range waiting {
 		limit := q.stateAt + time.Duration(parkPart*float64(r.set.ReleaseWithin))
 		switch {
-		case q.ended:
-		case q.reader == nil || r.now >= limit || r.now+margin >= q.Due:
+		case r.now >= limit || r.now+margin >= q.Due:
 			r.finish(q, r.no(q))
 		default:
 			r.place(q)
@@ -833,29 +844,24 @@
 
 // again decides after a failed attempt: another, or the final answer at once.
 func (r *Router) again(q *request, a *attempt, ev Outcome) {
-	if r.now >= q.Due || len(q.att) >= r.set.MaxAttempts || q.ran && q.class.Effect == Unsafe || q.out > 0 {
-		if q.out == 0 {
-			r.finish(q, r.no(q))
-		}
-		return
-	}
-	if a.write && q.reader != nil && !ev.NoState {
+	waits := a.write && q.reader != nil && !ev.NoState
+	switch {
+	case r.now >= q.Due || len(q.att) >= r.set.MaxAttempts, q.ran && q.class.Effect == Unsafe,
+		q.ran && q.class.Effect == Keyed && !waits:
+		r.finish(q, r.no(q))
+	case waits:
 		q.stateAt = r.now
 		r.place(q)
-		return
-	}
-	q.reader = nil
-	if q.ran && q.class.Effect == Keyed {
-		r.finish(q, r.no(q))
-		return
+	default:
+		q.reader = nil
+		r.held = append(r.held, q)
 	}
-	r.held = append(r.held, q)
 }
 
 // no is the final answer to a request that is given up: a refusal where trying again is harmless, else a
 // failure.
 func (r *Router) no(q *request) Action {
-	risky := q.ran || q.writeOut()
+	risky := q.ran || slices.ContainsFunc(q.att, func(a attempt) bool { return a.out && a.write })
 	if risky && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
 		return Fail{q.ID}
 	}
@@ -863,15 +869,6 @@
 	return Refuse{Request: q.ID, Wait: min(wait, r.set.MaxWait)}
 }
 
-func (q *request) writeOut() bool {
-	for i := range q.att {
-		if q.att[i].out && q.att[i].write {
-			return true
-		}
-	}
-	return false
-}
-
 // finish is the one place where a request ends. It answers, calls off what is out and lets go of what is
 // held.
 func (r *Router) finish(q *request, answer Action) {
@@ -894,12 +891,7 @@
 }
 
 func without(qs []*request, q *request) []*request {
-	for i := range qs {
-		if qs[i] == q {
-			return append(qs[:i], qs[i+1:]...)
-		}
-	}
-	return qs
+	return slices.DeleteFunc(qs, func(o *request) bool { return o == q })
 }
 
 // ---- Small helpers ----
@@ -913,15 +905,6 @@
 	return x ^ x>>31
 }
 
-func less(a, b [6]float64) bool {
-	for i := range a {
-		if a[i] != b[i] {
-			return a[i] < b[i]
-		}
-	}
-	return false
-}
-
 func b2f(v bool) float64 {
 	if v {
 		return 1
