--- /dev/null
+++ b/choice/rules_test.go
@@ -0,0 +1,408 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand"
+	"reflect"
+	"testing"
+	"time"
+)
+
+// world answers a Router with random but legal events and checks the five rules on its actions. It models no service:
+// outcomes and their times are drawn blindly.
+type world struct {
+	t       *testing.T
+	rnd     *rand.Rand
+	set     Settings
+	r       *Router
+	now     time.Duration
+	next    RequestID
+	all     map[RequestID]*life
+	open    map[RequestID]*life // not settled yet
+	servers map[ServerID]Server
+	barred  map[ServerID]time.Duration // told to stop, since
+	future  []planned
+	sent    map[ServerID][]time.Duration
+	log     []string
+}
+
+type planned struct {
+	at time.Duration
+	ev Event
+}
+
+// life is what the rules need to know of a request.
+type life struct {
+	req      Request
+	class    Class
+	ended    bool
+	atts     []try
+	held     bool // a read state waits
+	heldFrom time.Duration
+	started  bool
+}
+
+type try struct {
+	server ServerID
+	out    bool
+	write  bool
+	ran    bool // may have run
+	at     time.Duration
+}
+
+func newWorld(t *testing.T, set Settings, seed int64, n int) *world {
+	w := &world{t: t, rnd: rand.New(rand.NewSource(seed)), set: set, now: time.Hour, all: map[RequestID]*life{},
+		open:    map[RequestID]*life{},
+		servers: map[ServerID]Server{}, barred: map[ServerID]time.Duration{}, sent: map[ServerID][]time.Duration{}}
+	r, err := New(set, uint64(seed))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.r = r
+	var list []Server
+	for i := range n {
+		s := Server{ID: ServerID(100 + 7*i), Kind: i % len(set.Kinds), Zone: i % 2, Cell: i % 3, State: Ready}
+		w.servers[s.ID] = s
+		list = append(list, s)
+	}
+	w.act(w.r.Step(w.now, []Event{ServerList{Scope: Cached, Servers: list}}))
+	return w
+}
+
+// ids lists the servers in a fixed order, for the seeded draws.
+func (w *world) ids() []ServerID {
+	var out []ServerID
+	for id := ServerID(100); int(id) < 100+7*len(w.servers); id += 7 {
+		out = append(out, id)
+	}
+	return out
+}
+
+func (w *world) run(steps int, arrivals float64) {
+	for i := range steps + 3000 {
+		w.now += time.Duration(1+w.rnd.Intn(9)) * ms
+		var evs []Event
+		if i < steps && w.rnd.Float64() < arrivals {
+			evs = append(evs, w.arrival())
+		}
+		if i < steps && w.rnd.Intn(150) == 0 {
+			evs = append(evs, w.listChange())
+		}
+		evs = append(evs, w.due()...)
+		if len(evs) > 0 {
+			w.note(evs)
+			w.act(w.r.Step(w.now, evs))
+		}
+		w.check()
+		if i >= steps && len(w.future) == 0 {
+			break
+		}
+	}
+	for id, l := range w.open {
+		if !l.ended || l.held {
+			w.fail("request %d left: ended %v held %v", id, l.ended, l.held)
+		}
+	}
+}
+
+func (w *world) fail(format string, args ...any) {
+	w.t.Helper()
+	w.t.Fatalf("%v: "+format, append([]any{w.now}, args...)...)
+}
+
+func (w *world) arrival() Event {
+	w.next++
+	c := w.rnd.Intn(len(w.set.Classes))
+	q := Request{ID: w.next, Class: c, Session: uint64(w.rnd.Intn(40)), Prefix: uint64(w.rnd.Intn(6)),
+		PromptLen: float64(100 + w.rnd.Intn(8000)), MaxOut: 300, Tenant: w.rnd.Intn(3),
+		Due: w.now + time.Duration(300+w.rnd.Intn(4000))*ms}
+	if w.rnd.Intn(30) == 0 {
+		q.PromptLen *= 40
+	}
+	w.all[q.ID] = &life{req: q, class: w.set.Classes[c]}
+	w.open[q.ID] = w.all[q.ID]
+	if w.rnd.Intn(20) == 0 {
+		w.plan(time.Duration(w.rnd.Intn(1000))*ms, ClientGone{Request: q.ID})
+	}
+	return q
+}
+
+func (w *world) listChange() Event {
+	ids := w.ids()
+	s := w.servers[ids[w.rnd.Intn(len(ids))]]
+	switch w.rnd.Intn(3) {
+	case 0:
+		s.State = Draining
+	case 1:
+		s.State = Gone
+	default:
+		s.State, s.ReadyAt = Ready, w.now-time.Duration(w.rnd.Intn(3000))*ms
+	}
+	w.servers[s.ID] = s
+	if s.State == Ready {
+		delete(w.barred, s.ID)
+	} else {
+		w.barred[s.ID] = w.now
+	}
+	return ServerList{Scope: Changes, Servers: []Server{s}}
+}
+
+func (w *world) plan(after time.Duration, ev Event) {
+	w.future = append(w.future, planned{w.now + after, ev})
+}
+
+func (w *world) due() []Event {
+	var evs []Event
+	rest := w.future[:0]
+	for _, p := range w.future {
+		if p.at > w.now {
+			rest = append(rest, p)
+			continue
+		}
+		switch ev := p.ev.(type) {
+		case ClientGone:
+			if l := w.all[ev.Request]; l.ended || l.started {
+				continue
+			}
+		case First:
+			l := w.all[ev.Request]
+			if l.ended || l.started {
+				continue
+			}
+		case Outcome:
+			if l := w.all[ev.Request]; !l.atts[ev.Attempt].out {
+				continue // a cancel or an earlier outcome came first
+			}
+		}
+		evs = append(evs, p.ev)
+	}
+	w.future = rest
+	return evs
+}
+
+// note books events as the rules see them.
+func (w *world) note(evs []Event) {
+	for i, ev := range evs {
+		switch ev := ev.(type) {
+		case ClientGone:
+			w.all[ev.Request].ended = true
+		case First:
+			l := w.all[ev.Request]
+			l.started, l.held = true, false
+		case Outcome:
+			l := w.all[ev.Request]
+			a := &l.atts[ev.Attempt]
+			a.out = false
+			a.ran = a.write && (ev.Result == Errored || ev.Result == TimedOut || ev.Result == Reset || ev.Result == Cancelled)
+			switch ev.Result {
+			case ReadDone:
+				l.held, l.heldFrom = true, w.now
+			case Served:
+				l.ended = true
+			}
+			if l.held {
+				l.heldFrom = w.now
+			}
+			if l.started {
+				l.ended = true
+			}
+			ev.Over = l.ended
+			evs[i] = ev
+		}
+	}
+}
+
+func (w *world) act(acts []Action) {
+	for _, a := range acts {
+		w.log = append(w.log, fmt.Sprintf("%d %+v", w.now, a))
+		switch a := a.(type) {
+		case Send:
+			w.send(a)
+		case Refuse:
+			w.answer(a.Request, true)
+		case Fail:
+			w.answer(a.Request, false)
+		case Release:
+			w.all[a.Request].held = false
+		case Cancel:
+			l := w.all[a.Request]
+			if l.atts[a.Attempt].out {
+				w.plan(ms, Outcome{Request: a.Request, Attempt: a.Attempt, Server: l.atts[a.Attempt].server, Result: Cancelled})
+			}
+		case Wake:
+			w.plan(a.After, Timer{Tag: a.Tag})
+		}
+	}
+}
+
+func (w *world) send(a Send) {
+	l := w.all[a.Request]
+	s := w.servers[a.Server]
+	if l == nil || l.ended {
+		w.fail("sent %d after its end", a.Request)
+	}
+	if from, ok := w.barred[a.Server]; ok && w.now-from > w.set.DrainGrace {
+		w.fail("sent %d to server %d, told to stop at %v", a.Request, a.Server, from)
+	}
+	if len(l.atts) >= w.set.MaxAttempts {
+		w.fail("request %d: attempt %d", a.Request, len(l.atts))
+	}
+	for _, t := range l.atts {
+		if t.out {
+			w.fail("request %d has two attempts out", a.Request)
+		}
+		if !t.ran {
+			continue
+		}
+		same := w.servers[t.server].Cell == s.Cell
+		if l.class.Effect == Unsafe || l.class.Effect == Keyed && (!same || w.now-t.at > l.class.Window) {
+			w.fail("request %d of class %s sent again to server %d", a.Request, l.class.Name, a.Server)
+		}
+	}
+	w.cold(s)
+	write := w.set.Kinds[s.Kind].Role != Reader
+	l.atts = append(l.atts, try{server: a.Server, out: true, write: write, at: w.now})
+	l.held = l.held && !write
+	w.outcome(a, l, write)
+}
+
+// cold checks that a server told to be cold gets one request a window where nothing is known of its peers' work, and
+// no more than warm peers' sends allow otherwise; a crude upper bound that a flood would break.
+func (w *world) cold(s Server) {
+	if s.ReadyAt == 0 || w.now-s.ReadyAt > w.set.ColdFor {
+		return
+	}
+	recent := w.sent[s.ID][:0]
+	for _, at := range w.sent[s.ID] {
+		if w.now-at < w.set.TipAfter {
+			recent = append(recent, at)
+		}
+	}
+	w.sent[s.ID] = append(recent, w.now)
+	if len(w.sent[s.ID]) > 25 {
+		w.fail("cold server %d got %d sends in %v", s.ID, len(w.sent[s.ID]), w.set.TipAfter)
+	}
+}
+
+func (w *world) outcome(a Send, l *life, write bool) {
+	o := Outcome{Request: a.Request, Attempt: len(l.atts) - 1, Server: a.Server}
+	after := time.Duration(1+w.rnd.Intn(400)) * ms
+	switch k := w.rnd.Intn(20); {
+	case k < 13 && !write:
+		o.Result = ReadDone
+	case k < 13:
+		w.plan(after, First{Request: a.Request, Attempt: o.Attempt, Server: a.Server, Elapsed: after})
+		o.Result = Served
+		if w.rnd.Intn(4) == 0 {
+			o.Result = Reset
+		}
+		after += time.Duration(w.rnd.Intn(2000)) * ms
+	case k == 13:
+		after = time.Hour // silent
+	default:
+		o.Result = []Result{Errored, Turned, ConnectFailed, Reset, NotSent, Turned}[k-14]
+		o.NoState = o.Result == Turned && write && k == 19
+	}
+	limit := l.req.Due - w.now
+	if a.Timeout > 0 && a.Timeout < limit {
+		limit = a.Timeout
+	}
+	if after > limit && !(o.Result == Served || o.Result == Reset && write) || after > time.Minute {
+		after, o.Result, o.NoState = max(limit, 0), TimedOut, false
+	} else if (o.Result == Served || o.Result == Reset) && after > limit {
+		w.plan(limit+ms, Outcome{Request: o.Request, Attempt: o.Attempt, Server: o.Server, Result: TimedOut, Elapsed: limit})
+		w.future = dropFirst(w.future, o)
+		return
+	}
+	o.Elapsed = after
+	w.plan(after, o)
+}
+
+// dropFirst takes back the First of an attempt that will time out.
+func dropFirst(ps []planned, o Outcome) []planned {
+	for i, p := range ps {
+		if f, ok := p.ev.(First); ok && f.Request == o.Request && f.Attempt == o.Attempt {
+			return append(ps[:i], ps[i+1:]...)
+		}
+	}
+	return ps
+}
+
+func (w *world) answer(id RequestID, refused bool) {
+	l := w.all[id]
+	if l.ended {
+		w.fail("request %d answered twice", id)
+	}
+	l.ended = true
+	for _, t := range l.atts {
+		risky := t.write && (t.out || t.ran)
+		if refused && risky && l.class.Effect != Safe {
+			w.fail("request %d of class %s refused though it may have run", id, l.class.Name)
+		}
+	}
+}
+
+// check holds the clock against what is owed and what is held.
+func (w *world) check() {
+	for id, l := range w.open {
+		if !l.ended && !l.started && w.now > l.req.Due+25*ms {
+			w.fail("request %d not answered by its time", id)
+		}
+		out := false
+		for _, t := range l.atts {
+			out = out || t.out
+		}
+		if l.held && !out && w.now-l.heldFrom > w.set.ReleaseWithin {
+			w.fail("request %d keeps its state pinned", id)
+		}
+		if l.ended && !l.held && !out {
+			delete(w.open, id)
+		}
+	}
+}
+
+func ruleSettings() Settings {
+	s := testSettings()
+	s.Fronts, s.DrainGrace, s.ReleaseWithin = 2, 0, 300*ms
+	s.Tenants = []Tenant{{QuotaPerS: 10}, {QuotaPerS: 3}, {QuotaPerS: 0}}
+	return s
+}
+
+func TestRulesUnderRandomEvents(t *testing.T) {
+	for seed := int64(1); seed <= 60; seed++ {
+		for _, arrivals := range []float64{0.05, 0.4} {
+			t.Run(fmt.Sprintf("seed %d at %.2f", seed, arrivals), func(t *testing.T) {
+				set := ruleSettings()
+				set.CanCancel = seed%2 == 0
+				set.WritersRead = seed%3 == 0
+				newWorld(t, set, seed, 2+int(seed)%9).run(2500, arrivals)
+			})
+		}
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	logs := make([][]string, 2)
+	for i := range logs {
+		w := newWorld(t, ruleSettings(), 42, 8)
+		w.run(3000, 0.3)
+		logs[i] = w.log
+	}
+	if len(logs[0]) < 1000 {
+		t.Fatalf("only %d actions", len(logs[0]))
+	}
+	if !reflect.DeepEqual(logs[0], logs[1]) {
+		t.Fatal("the same events led to other actions")
+	}
+}
+
+func TestInstancesDoNotTouchEachOther(t *testing.T) {
+	alone := newWorld(t, ruleSettings(), 5, 6)
+	alone.run(1500, 0.3)
+	a, b := newWorld(t, ruleSettings(), 5, 6), newWorld(t, ruleSettings(), 6, 6)
+	b.run(700, 0.3)
+	a.run(1500, 0.3)
+	if !reflect.DeepEqual(alone.log, a.log) {
+		t.Fatal("another instance changed the actions")
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -59,10 +59,10 @@
 	s := choice.Settings{
 		Fronts: b.Balancers, Zone: b.Zone, OverShareWorth: b.OverShareWorth,
 		MaxAttempts: b.Caps.AttemptsCap, CanCancel: b.Caps.Cancel, SecondCopies: b.Caps.SecondCopies,
-		MaxWait: us(b.Caps.MaxRetryAfter), Ahead: f.Ahead, WritersRead: f.LocalRead, Resume: f.Resume,
-		ReleaseWithin: us(f.Release), AnswerSlack: us(inv.GraceToAnswer), DrainGrace: us(inv.StopSendingWithin),
-		ColdFrom: inv.ColdFrom, ColdFor: us(inv.Cold), OverloadFactor: inv.OverloadFactor, TipAfter: us(inv.TipAfter),
-		AskForList: b.Discovery == "ask", AskWithin: us(inv.AskWithin), ReportFields: b.Report.Fields,
+		MaxWait: micro(b.Caps.MaxRetryAfter), Ahead: f.Ahead, WritersRead: f.LocalRead, Resume: f.Resume,
+		ReleaseWithin: micro(f.Release), AnswerSlack: micro(inv.GraceToAnswer), DrainGrace: micro(inv.StopSendingWithin),
+		ColdFrom: inv.ColdFrom, ColdFor: micro(inv.Cold), OverloadFactor: inv.OverloadFactor, TipAfter: micro(inv.TipAfter),
+		AskForList: b.Discovery == "ask", AskWithin: micro(inv.AskWithin), ReportFields: b.Report.Fields,
 	}
 	for _, t := range b.Tenants {
 		s.Tenants = append(s.Tenants, choice.Tenant{QuotaPerS: t.QuotaPerS, Share: t.Share})
@@ -99,9 +99,9 @@
 		if !ok {
 			return fmt.Errorf("settings: Classes[%d].Group: unknown %q", i, c.Group)
 		}
-		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Aim: us(c.Promise), Deadline: us(c.Deadline),
-			AimPer1000: us(at(b.FamilyInfo.AimUsPer1000PromptTokens, i)), TokenAim: us(at(b.FamilyInfo.TokenAim, i)),
-			Worth: c.Importance, LateWorth: c.LateWorth, Effect: effect, Group: group, Window: us(c.Window)})
+		s.Classes = append(s.Classes, choice.Class{Name: c.Name, Aim: micro(c.Promise), Deadline: micro(c.Deadline),
+			AimPer1000: micro(at(b.FamilyInfo.AimUsPer1000PromptTokens, i)), TokenAim: micro(at(b.FamilyInfo.TokenAim, i)),
+			Worth: c.Importance, LateWorth: c.LateWorth, Effect: effect, Group: group, Window: micro(c.Window)})
 	}
 	return nil
 }
@@ -113,5 +113,5 @@
 	return 0
 }
 
-// us takes microseconds as the settings give them.
-func us(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
+// micro takes microseconds as the settings give them.
+func micro(v float64) time.Duration { return time.Duration(v * float64(time.Microsecond)) }
