One judge for failing, silent and slow servers; cold servers do not use up the spill depth

A server with attempts out and no word for 1 s and 6 times the usual is now put aside unless its peers are as silent.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,15 +31,17 @@
 	keptMax      = 20000                  // remembered prefixes and sessions a server
 
 	// Health: failures, and work done for the time that work was out, against peers of the role.
-	failGain  = 0.25                   // weight of the newest outcome
-	failBad   = 0.4                    // a server failing this part is put aside
-	memory    = 5 * time.Second        // how long work done counts
-	slowPart  = 0.35                   // doing less than this part of what peers do is slow
-	enoughFor = 8.0                    // pieces that peers would have finished before a server is judged
-	backFirst = 500 * time.Millisecond // first pause before a trial
-	backMost  = 8 * time.Second        // longest pause
-	trialsFor = 2                      // good trials before a server is back
-	fullPause = 150 * time.Millisecond // a server that turned a request away has no room for so long
+	failGain    = 0.25                    // weight of the newest outcome
+	failBad     = 0.4                     // a server failing this part is put aside
+	memory      = 5 * time.Second         // how long work done counts
+	slowPart    = 0.35                    // doing less than this part of what peers do is slow
+	enoughFor   = 8.0                     // pieces that peers would have finished before a server is judged
+	silentLeast = 1000 * time.Millisecond // no word for so long ...
+	silentFor   = 6.0                     // ... and so many times the usual is silence
+	backFirst   = 500 * time.Millisecond  // first pause before a trial
+	backMost    = 8 * time.Second         // longest pause
+	trialsFor   = 2                       // good trials before a server is back
+	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
 	// Time-outs and final answers.
 	readLeast  = 800 * time.Millisecond  // least time-out of a read
@@ -90,6 +92,8 @@
 	done, load float64 // work finished, time with work out; both fade
 	count      float64 // pieces finished; fades
 	seen       time.Duration
+	waits      int           // attempts of which nothing was heard yet
+	heard      time.Duration // when s last said something, or the first of these was sent
 	bad        bool
 	back       time.Duration // next trial
 	pause      time.Duration
@@ -104,6 +108,7 @@
 	trial  bool
 	at     time.Duration
 	charge float64
+	quiet  bool    // nothing heard of it yet
 	unread float64 // of the prompt, while it waits to be read
 	ahead  float64 // own unread tokens at the server, this prompt's included
 }
@@ -132,9 +137,8 @@
 
 // ranked is a server in the hash order of a prefix.
 type ranked struct {
-	s     *server
-	tried bool
-	hash  uint64
+	s    *server
+	hash uint64
 }
 
 type bucket struct{ level, rate float64 }
@@ -148,9 +152,7 @@
 	s.MaxAttempts = cmp.Or(s.MaxAttempts, 2)
 	s.MaxWait = cmp.Or(s.MaxWait, time.Second)
 	s.ReleaseWithin = cmp.Or(s.ReleaseWithin, 300*time.Millisecond)
-	if s.ColdFrom <= 0 {
-		s.ColdFrom = 0.25
-	}
+	s.ColdFrom = cmp.Or(s.ColdFrom, 0.25)
 	r := &Router{set: s, salt: seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		hops: map[int]*hop{}, newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
 	for _, t := range s.Tenants {
@@ -163,9 +165,6 @@
 // Step takes what happened at now, in order, and returns what to do, in order.
 func (r *Router) Step(now time.Duration, events []Event) []Action {
 	dt := now - r.now
-	if r.now == 0 {
-		dt = 0
-	}
 	r.now, r.out = now, nil
 	for i := range r.tenants {
 		t := &r.tenants[i]
@@ -264,9 +263,6 @@
 func (r *Router) age(s *server) {
 	dt := (r.now - s.seen).Seconds()
 	s.seen = r.now
-	if dt <= 0 {
-		return
-	}
 	f := math.Exp(-dt / memory.Seconds())
 	n := float64(s.n)
 	if s.role == Reader {
@@ -278,42 +274,54 @@
 // pace is the work that s finished for the time that work was out there.
 func (s *server) pace() float64 { return (s.done + 1e-9) / (s.load + 1e-3) }
 
-// judge puts servers aside that do far less than the peers of their role: slow ones, and those that take
-// work and stay silent. When all are slow none is blamed, and never more than half of a role. It also
-// holds against a server cut off in one direction; it could hurt where a role has two servers of very
-// unlike speed.
+// judge puts servers aside that do far worse than the peers of their role: they fail more, say nothing, or
+// finish far less. So it answers crashed, failing, stalled, cut-off and slow servers alike. When most are
+// as bad none is blamed, and never more than half of a role for being slow. It could hurt where a role has
+// two servers of very unlike speed.
 func (r *Router) judge() {
 	for _, s := range r.servers {
 		r.age(s)
 	}
 	for _, s := range r.servers {
-		if s.bad || !r.warm(s, s.role) {
+		if s.bad || !s.listed {
 			continue
 		}
-		var other []float64
-		work, pieces, peers, aside := 0.0, 0.0, 1, 1
+		var paces, fails []float64
+		work, pieces, peers, aside, quiet := 0.0, 0.0, 1, 1, 0
 		for _, p := range r.servers {
-			if p == s || !r.warm(p, s.role) {
+			if p == s || p.role != s.role || !p.listed {
 				continue
 			}
-			peers++
-			if p.bad {
-				aside++
-			} else if p.load > 0.5 {
-				other = append(other, p.pace())
+			peers, aside = peers+1, aside+int(b2f(p.bad))
+			quiet += int(b2f(!p.bad && r.silent(p)))
+			fails = append(fails, p.fail)
+			if !p.bad && p.load > 0.5 && !r.cold(p) {
+				paces = append(paces, p.pace())
 				work, pieces = work+p.done, pieces+p.count
 			}
 		}
-		if len(other) == 0 || pieces < 1 || 2*aside > peers {
-			continue
-		}
-		due := median(other) * s.load
-		if due*pieces/work > enoughFor && s.done < slowPart*due {
-			r.aside(s, "slow or silent")
+		switch due := median(paces) * s.load; {
+		case s.fail > failBad+median(fails):
+			r.aside(s, "failing")
+		case r.silent(s) && 2*quiet < peers-aside:
+			r.aside(s, "silent")
+		case r.cold(s) || pieces < 1 || 2*aside > peers:
+		case due*pieces/work > enoughFor && s.done < slowPart*due:
+			r.aside(s, "slow")
 		}
 	}
 }
 
+// silent tells that s has had attempts for much longer than the usual time and has said nothing since.
+// Attempts of an unsafe class have no time-out, so without it a stall would show at their deadlines only.
+func (r *Router) silent(s *server) bool {
+	usual := s.unread * r.readPace
+	if s.role != Reader {
+		usual += r.firstTime
+	}
+	return s.waits > 0 && r.now-s.heard > silentLeast+time.Duration(silentFor*usual*float64(time.Second))
+}
+
 // warm tells whether s is a listed server of the role that has been running for a while.
 func (r *Router) warm(s *server, role Role) bool { return s.role == role && s.listed && !r.cold(s) }
 
@@ -349,20 +357,7 @@
 		}
 	case s.bad && a.trial && !failed:
 		r.aside(s, "trial slow")
-	case !s.bad && s.fail > failBad+r.peersFail(s):
-		r.aside(s, "failing")
-	}
-}
-
-// peersFail is the median failing share of the other servers of the role of s: what is not its own fault.
-func (r *Router) peersFail(s *server) float64 {
-	other := []float64{}
-	for _, p := range r.servers {
-		if p.role == s.role && p.listed && p != s {
-			other = append(other, p.fail)
-		}
 	}
-	return median(other)
 }
 
 // ---- Room: one notion for caps, cold budgets, trials and servers that turned work away ----
@@ -488,8 +483,7 @@
 	if r.released >= promoteEvery-1 {
 		if i := oldest(waiting, r.now-starveAfter); i > 0 {
 			q := waiting[i]
-			copy(waiting[1:i+1], waiting[:i])
-			waiting[0] = q
+			waiting = slices.Insert(slices.Delete(waiting, i, i+1), 0, q)
 		}
 	}
 	for _, q := range waiting {
@@ -579,16 +573,22 @@
 	r.order = r.order[:0]
 	for _, s := range r.servers {
 		if s.role == role && r.usable(s, q) {
-			r.order = append(r.order, ranked{s, q.triedOn(s), mix(key ^ mix(uint64(s.ID)))})
+			h := mix(key^mix(uint64(s.ID))) >> 1
+			if !q.triedOn(s) {
+				h |= 1 << 63
+			}
+			r.order = append(r.order, ranked{s, h})
 		}
 	}
-	slices.SortFunc(r.order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(b2f(a.tried), b2f(b.tried)), cmp.Compare(b.hash, a.hash))
-	})
-	for _, e := range r.order[:min(spillMost, len(r.order))] {
+	slices.SortFunc(r.order, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	warm := 0
+	for _, e := range r.order {
 		if r.room(e.s, q) {
 			return e.s
 		}
+		if warm += int(b2f(!r.cold(e.s))); warm >= spillMost {
+			break
+		}
 	}
 	return nil
 }
@@ -667,12 +667,15 @@
 
 // send starts an attempt and books what it takes.
 func (r *Router) send(q *request, s *server, write bool) {
-	a := attempt{s: s, out: true, write: write, at: r.now, trial: s.bad}
+	a := attempt{s: s, out: true, quiet: true, write: write, at: r.now, trial: s.bad}
 	a.charge = q.memoryNeed()
 	if q.reader == nil {
 		a.unread = r.unread(q, s)
 	}
 	r.age(s)
+	if s.waits++; s.waits == 1 {
+		s.heard = r.now
+	}
 	s.n++
 	s.tokens += a.charge
 	s.unread += a.unread
@@ -712,7 +715,7 @@
 	if a.unread > 0 {
 		r.paced(a, ev.Elapsed)
 	}
-	r.readEnd(a)
+	r.hear(a, true)
 	r.moved(q, a.s, ev.Elapsed)
 	r.learn(a.s, a, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
 }
@@ -751,7 +754,7 @@
 	q.out--
 	s.n--
 	s.tokens = max(s.tokens-a.charge, 0)
-	r.readEnd(a)
+	r.hear(a, ev.Result != TimedOut && ev.Result != Cancelled && ev.Result != ConnectFailed)
 	switch ev.Result {
 	case ReadDone:
 		r.readDone(q, a, ev)
@@ -772,18 +775,26 @@
 			s.full = r.now + fullPause
 		}
 	}
-	if a.write && !q.ended && mayHaveRun(ev.Result) && !q.ran {
+	mayHaveRun := slices.Contains([]Result{Errored, TimedOut, Reset, Cancelled}, ev.Result)
+	if a.write && mayHaveRun && !q.ran {
 		q.ran, q.ranOn, q.ranAt = true, s, a.at
 	}
 }
 
-// readEnd books a prompt out of what waits to be read.
-func (r *Router) readEnd(a *attempt) {
+// hear books an attempt out of those that wait for a word and to be read; said tells that the server
+// itself gave it.
+func (r *Router) hear(a *attempt, said bool) {
+	if a.quiet {
+		a.s.waits--
+	}
 	a.s.unread = max(a.s.unread-a.unread, 0)
-	a.unread = 0
+	a.quiet, a.unread = false, 0
+	if said {
+		a.s.heard = r.now
+	}
 }
 
-// pace learns how long a waiting prompt token takes at s, and over all readers.
+// paced learns how long a waiting prompt token takes at s, and over all readers.
 func (r *Router) paced(a *attempt, took time.Duration) {
 	v := took.Seconds() / max(a.ahead, 200)
 	a.s.pace1 += 0.1 * (v - a.s.pace1)
@@ -810,10 +821,6 @@
 	r.learn(s, a, false, failGain, sec < patience*a.ahead*r.readPace+0.5)
 }
 
-func mayHaveRun(res Result) bool {
-	return res == Errored || res == TimedOut || res == Reset || res == Cancelled
-}
-
 // place sends a read request to a writer; if none may be sent to, it waits for part of the release time.
 func (r *Router) place(q *request) {
 	s := r.writer(q, false)
