A promoted prompt's own tokens no longer count to the token bound; scenario tests

Cause: a long prompt never fits the bound beside others, so it left only when its reader fell idle, and under steady short traffic it starved for ever although promoted. Now, once promoted, only what waits before it counts. Found by a module test.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -129,6 +129,7 @@
 	ranAt   time.Duration
 	started bool // its stream runs
 	over    bool // beyond its tenant's share
+	starved bool // promoted: its own tokens no longer count to the bound
 	ended   bool
 }
 
@@ -164,11 +165,11 @@
 
 // Step takes what happened at now, in order, and returns what to do, in order.
 func (r *Router) Step(now time.Duration, events []Event) []Action {
-	dt := now - r.now
+	dt := (now - r.now).Seconds()
 	r.now, r.out = now, nil
 	for i := range r.tenants {
 		t := &r.tenants[i]
-		t.level = min(t.level+t.rate*dt.Seconds(), 2*t.rate)
+		t.level = min(t.level+t.rate*dt, 2*t.rate)
 	}
 	for _, ev := range events {
 		r.handle(ev)
@@ -225,11 +226,11 @@
 
 // line takes one entry. A later start means a new process: empty, cold, and of unknown health.
 func (r *Router) line(e Server) {
-	if e.Kind < 0 || e.Kind >= len(r.set.Kinds) {
-		return
-	}
 	s := r.byID[e.ID]
-	if s == nil {
+	switch {
+	case e.Kind < 0 || e.Kind >= len(r.set.Kinds):
+		return
+	case s == nil:
 		s = &server{Server: e, kept: map[uint64]float64{}, seen: r.now, pace1: r.readPace}
 		r.byID[e.ID] = s
 		r.servers = append(r.servers, s)
@@ -373,7 +374,7 @@
 		return false
 	}
 	waiting := s.unread
-	if s.role == Reader || s.role == Mixed && q.reader == nil {
+	if !q.starved && (s.role == Reader || s.role == Mixed && q.reader == nil) {
 		waiting += r.unread(q, s)
 	}
 	fits := s.role == Reader || s.tokens+q.memoryNeed() <= r.memory(s)
@@ -426,7 +427,7 @@
 	if q.reader == nil || r.hops[q.reader.Cell] == nil {
 		return false
 	}
-	h := r.hops[q.reader.Cell]
+	h := *r.hops[q.reader.Cell]
 	return h.far > farTimes*h.near+farMore
 }
 
@@ -483,6 +484,7 @@
 	if r.released >= promoteEvery-1 {
 		if i := oldest(waiting, r.now-starveAfter); i > 0 {
 			q := waiting[i]
+			q.starved = true
 			waiting = slices.Insert(slices.Delete(waiting, i, i+1), 0, q)
 		}
 	}
@@ -492,7 +494,7 @@
 			r.finish(q, r.no(q))
 		case r.launch(q):
 			r.released++
-			if r.now-q.at > starveAfter {
+			if q.starved {
 				r.released = 0
 			}
 		default:
@@ -872,8 +874,8 @@
 	if risky && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
 		return Fail{q.ID}
 	}
-	wait := max(pauseLeast, time.Duration(len(r.held))*10*time.Millisecond)
-	return Refuse{Request: q.ID, Wait: min(wait, r.set.MaxWait)}
+	wait := min(max(pauseLeast, time.Duration(len(r.held))*10*time.Millisecond), r.set.MaxWait)
+	return Refuse{q.ID, wait}
 }
 
 // finish is the one place where a request ends. It answers, calls off what is out and lets go of what is
@@ -901,8 +903,6 @@
 	return slices.DeleteFunc(qs, func(o *request) bool { return o == q })
 }
 
-// ---- Small helpers ----
-
 // mix is a 64-bit finaliser; every front hashes alike.
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -1,6 +1,9 @@
 package choice
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -104,3 +107,305 @@
 	one[Fail](t, acts)
 	one[Release](t, acts)
 }
+
+func TestNewNamesTheBadField(t *testing.T) {
+	tests := []struct {
+		field string
+		spoil func(*Settings)
+	}{
+		{"Classes", func(s *Settings) { s.Classes = nil }},
+		{"Kinds", func(s *Settings) { s.Kinds = nil }},
+		{"Kinds[0].Role", func(s *Settings) { s.Kinds[0].Role = 9 }},
+		{"Kinds[1].Memory", func(s *Settings) { s.Kinds[1].Memory = -1 }},
+		{"Classes[0]", func(s *Settings) { s.Classes[0].Aim = -1 }},
+		{"Classes[1].Effect", func(s *Settings) { s.Classes[1].Effect = 7 }},
+		{"Classes[2].Group", func(s *Settings) { s.Classes[2].Group = 7 }},
+		{"TipAfter", func(s *Settings) { s.TipAfter = -1 }},
+		{"Fronts", func(s *Settings) { s.Fronts = -1 }},
+	}
+	for _, tc := range tests {
+		s := testSettings()
+		tc.spoil(&s)
+		if _, err := New(s, 1); err == nil || !strings.Contains(err.Error(), tc.field) {
+			t.Errorf("%s: error %v", tc.field, err)
+		}
+	}
+}
+
+// fill sends reads until the reader has no room, and returns how many went.
+func (g *rig) fill(class int, prompt float64) int {
+	n := 0
+	for id := RequestID(1000); id < 1040; id++ {
+		sent := len(pick[Send](g.step(g.request(id, class, prompt))))
+		if n += sent; sent == 0 {
+			break
+		}
+	}
+	return n
+}
+
+func TestShortestHeldPromptLeavesFirst(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	if n := g.fill(0, 500); n == 0 || n > readCap {
+		t.Fatalf("%d reads out, want some and no more than %d", n, readCap)
+	}
+	g.step(g.request(1, 0, 400), g.request(2, 0, 90), g.request(3, 0, 300))
+	acts := g.after(50*ms, Outcome{Request: 1000, Server: 1, Result: ReadDone, Elapsed: 50 * ms})
+	sends := pick[Send](acts)
+	if len(sends) < 2 || sends[0].Request != 1000 || sends[1].Request != 2 {
+		t.Fatalf("sends %+v, want the state to the writer, then the shortest prompt", sends)
+	}
+}
+
+// TestPromotionIsBounded: after a stall all have starved; at most every promoteEvery-th release may be a promotion.
+func TestPromotionIsBounded(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].Aim = 20 * time.Second
+	g := newRig(t, set, reader(1), writer(2))
+	g.fill(0, 500)
+	long := g.request(1, 0, 9000)
+	long.Due = g.now + 20*time.Second
+	g.step(long)
+	var got []RequestID
+	for i := range 8 {
+		evs := []Event{}
+		short := g.request(RequestID(100+i), 0, 300)
+		short.Due = g.now + 20*time.Second
+		evs = append(evs, short)
+		id := RequestID(1000 + i)
+		evs = append(evs, Outcome{Request: id, Server: 1, Result: ReadDone, Elapsed: 50 * ms})
+		for _, s := range pick[Send](g.after(600*ms, evs...)) {
+			if s.Server == 1 {
+				got = append(got, s.Request)
+			}
+		}
+	}
+	at := slices.Index(got, 1)
+	if at < 0 {
+		t.Fatalf("the starved long prompt never left: %v", got)
+	}
+	if at+1 < promoteEvery {
+		t.Fatalf("promoted at release %d: %v", at+1, got)
+	}
+}
+
+func TestPrefixStaysOnFewReaders(t *testing.T) {
+	servers := []Server{writer(50), writer(51)}
+	for id := ServerID(1); id <= 6; id++ {
+		servers = append(servers, reader(id))
+	}
+	g := newRig(t, testSettings(), servers...)
+	used := map[ServerID]bool{}
+	for id := RequestID(1); id <= 60; id++ {
+		for _, s := range pick[Send](g.after(ms, g.request(id, 0, 3000))) {
+			used[s.Server] = true
+		}
+	}
+	if len(used) != spillMost {
+		t.Fatalf("one prefix was read at %d readers, want %d", len(used), spillMost)
+	}
+}
+
+func TestColdHomeDoesNotBlockThePrefix(t *testing.T) {
+	servers := []Server{writer(50)}
+	for id := ServerID(1); id <= 6; id++ {
+		servers = append(servers, reader(id))
+	}
+	g := newRig(t, testSettings(), servers...)
+	used := map[ServerID]bool{}
+	for id := RequestID(1); id <= 20; id++ {
+		for _, s := range pick[Send](g.after(ms, g.request(id, 0, 3000))) {
+			used[s.Server] = true
+		}
+	}
+	var cold []Event
+	for id := range used {
+		cold = append(cold, ServerList{Scope: Changes, Servers: []Server{{ID: id, State: Ready, ReadyAt: g.now}}})
+	}
+	g.after(time.Second, cold...)
+	warm := 0
+	for id := RequestID(100); id <= 120; id++ {
+		for _, s := range pick[Send](g.after(ms, g.request(id, 0, 3000))) {
+			warm += int(b2f(!used[s.Server]))
+		}
+	}
+	if warm == 0 {
+		t.Fatal("nothing went past the cold homes")
+	}
+}
+
+// TestFastFailingWriterIsPutAside: fewest streams would send everything to the writer that fails at once.
+func TestFastFailingWriterIsPutAside(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2), writer(3), writer(4))
+	toBad := 0
+	for id := RequestID(1); id <= 40; id++ {
+		acts := g.after(20*ms, g.request(id, 0, 500))
+		acts = g.after(20*ms, Outcome{Request: id, Server: one[Send](t, acts).Server, Result: ReadDone, Elapsed: 20 * ms})
+		for n := 1; ; n++ {
+			s := one[Send](t, acts)
+			if s.Server != 2 {
+				g.after(ms, First{Request: id, Attempt: n, Server: s.Server, Elapsed: ms})
+				break
+			}
+			toBad++
+			acts = g.after(ms, Outcome{Request: id, Attempt: n, Server: 2, Result: Errored, Elapsed: ms})
+		}
+	}
+	if toBad > 6 {
+		t.Fatalf("%d attempts at the failing writer", toBad)
+	}
+}
+
+// TestSilentWriterIsPutAside: unsafe attempts have no time-out, so only silence tells.
+func TestSilentWriterIsPutAside(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2), writer(3), writer(4))
+	late, silent := 0, ServerID(0)
+	for id := RequestID(1); id <= 120; id++ {
+		acts := g.after(30*ms, g.request(id, 1, 500))
+		acts = g.after(20*ms, Outcome{Request: id, Server: one[Send](t, acts).Server, Result: ReadDone, Elapsed: 20 * ms})
+		s := one[Send](t, acts)
+		silent = cmp.Or(silent, s.Server)
+		if s.Server == silent {
+			late += int(b2f(id > 90))
+			continue
+		}
+		g.after(ms, First{Request: id, Attempt: 1, Server: s.Server, Elapsed: ms})
+		g.step(Outcome{Request: id, Attempt: 1, Server: s.Server, Result: Served, Over: true, Elapsed: ms})
+	}
+	if late > 0 || !g.r.byID[silent].bad {
+		t.Fatalf("%d late sends to the silent writer, put aside: %v", late, g.r.byID[silent].bad)
+	}
+}
+
+func TestAllSilentBlamesNone(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2), writer(3), writer(4))
+	for id := RequestID(1); id <= 30; id++ {
+		acts := g.after(30*ms, g.request(id, 1, 500))
+		g.after(20*ms, Outcome{Request: id, Server: one[Send](t, acts).Server, Result: ReadDone, Elapsed: 20 * ms})
+	}
+	for range 40 {
+		g.after(100 * ms)
+	}
+	for _, id := range []ServerID{2, 3, 4} {
+		if g.r.byID[id].bad {
+			t.Fatalf("server %d blamed for what all suffer", id)
+		}
+	}
+}
+
+func TestHealedServerComesBack(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), reader(2), writer(3))
+	s := g.r.byID[1]
+	g.r.aside(s, "test")
+	for id := RequestID(1); id <= 40; id++ {
+		q := g.request(id, 0, 300)
+		q.Prefix = uint64(id)
+		for _, a := range pick[Send](g.after(100*ms, q)) {
+			g.after(10*ms, Outcome{Request: a.Request, Server: a.Server, Result: ReadDone, Elapsed: 10 * ms})
+		}
+	}
+	if s.bad {
+		t.Fatal("still put aside after 40 good reads were on offer")
+	}
+}
+
+func TestLastServersServeThoughPutAside(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	g.r.aside(g.r.byID[1], "test")
+	g.r.aside(g.r.byID[2], "test")
+	one[Send](t, g.step(g.request(1, 1, 500)))
+	one[Send](t, g.after(ms, Outcome{Request: 1, Server: 1, Result: ReadDone, Elapsed: ms}))
+}
+
+func TestLateReadIsReleased(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	g.step(g.request(1, 0, 500))
+	one[Cancel](t, g.after(ms, ClientGone{Request: 1}))
+	one[Release](t, g.after(ms, Outcome{Request: 1, Server: 1, Result: ReadDone, Over: true, Elapsed: 2 * ms}))
+}
+
+func TestDrainedServerGetsNothingAndStateIsLetGo(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	g.step(g.request(1, 0, 500))
+	gone := writer(2)
+	gone.State = Draining
+	acts := g.after(ms, ServerList{Scope: Changes, Servers: []Server{gone}},
+		Outcome{Request: 1, Server: 1, Result: ReadDone, Elapsed: ms})
+	if n := len(pick[Send](acts)); n != 0 {
+		t.Fatalf("%d sends after the drain", n)
+	}
+	acts = g.after(400 * ms)
+	one[Release](t, acts)
+	one[Refuse](t, acts)
+}
+
+func TestHopelessHeldRequestIsRefusedWithAWait(t *testing.T) {
+	g := newRig(t, testSettings())
+	g.step(g.request(1, 1, 500))
+	if r := one[Refuse](t, g.after(1100*ms)); r.Wait <= 0 {
+		t.Fatal("no wait advised")
+	}
+}
+
+func TestOverShareWaitsBehind(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{QuotaPerS: 1}, {QuotaPerS: 100}}
+	g := newRig(t, set, reader(1), writer(2))
+	g.fill(0, 500)
+	greedy, fair := g.request(1, 0, 100), g.request(2, 0, 400)
+	fair.Tenant = 1
+	g.step(greedy, fair)
+	sends := pick[Send](g.after(50*ms, Outcome{Request: 1000, Server: 1, Result: ReadDone, Elapsed: 50 * ms}))
+	if len(sends) < 2 || sends[1].Request != 2 {
+		t.Fatalf("want the state, then the tenant inside its share: %+v", sends)
+	}
+}
+
+// TestHurtLinkKeepsStatesInTheCell: moves out of the reader's cell have become far slower than those inside.
+func TestHurtLinkKeepsStatesInTheCell(t *testing.T) {
+	near, far := writer(2), writer(3)
+	near.Cell, far.Cell = 0, 1
+	g := newRig(t, testSettings(), reader(1), near, far)
+	g.r.hops[0] = &hop{near: 0.03, far: 0.9}
+	for id := RequestID(1); id <= 5; id++ {
+		acts := g.after(20*ms, g.request(id, 1, 500))
+		acts = g.after(20*ms, Outcome{Request: id, Server: one[Send](t, acts).Server, Result: ReadDone, Elapsed: 20 * ms})
+		if s := one[Send](t, acts); s.Server != 2 {
+			t.Fatalf("state %d left the cell over the hurt link", id)
+		}
+	}
+}
+
+func TestLostStateIsReadAgain(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), reader(4), writer(2))
+	first := one[Send](t, g.step(g.request(1, 1, 500)))
+	g.after(ms, Outcome{Request: 1, Server: first.Server, Result: ReadDone, Elapsed: ms})
+	acts := g.after(ms, Outcome{Request: 1, Attempt: 1, Server: 2, Result: Turned, NoState: true, Elapsed: ms})
+	if s := one[Send](t, acts); s.Server == 2 {
+		t.Fatal("sent to the writer with no state")
+	}
+}
+
+func TestOddEventsAreHarmless(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	huge := g.request(9, 0, 3e7)
+	huge.Session, huge.Prefix = 0, 0
+	acts := g.step(ClientGone{Request: 77}, Outcome{Request: 77}, First{Request: 77}, Timer{Tag: 99}, Held{Request: 77},
+		Request{ID: 5, Class: 40}, huge, Outcome{Request: 9, Attempt: 8}, First{Request: 9, Attempt: -1},
+		ServerList{Scope: Changes, Servers: []Server{{ID: 60, Kind: 12, State: Ready}}}, ServerList{Scope: Full})
+	if len(pick[Send](acts)) != 0 {
+		t.Fatalf("sent with an empty list: %+v", acts)
+	}
+	one[Refuse](t, g.after(5*time.Second))
+}
+
+func TestListIsAskedForWhereItMustBe(t *testing.T) {
+	set := testSettings()
+	set.AskForList, set.AskWithin = true, 4*time.Second
+	g := newRig(t, set)
+	if acts := g.after(3 * time.Second); len(pick[Watch](acts)) != 1 {
+		t.Fatalf("no second ask in %+v", acts)
+	}
+	g.after(ms, ServerList{Scope: Failed})
+	one[Watch](t, g.after(time.Second))
+}
