--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,7 +1,6 @@
-// Package choice decides for one front of a service whose readers (prefill) and writers (decode) are
-// separate: where a request is read and answered, when it is held, tried again, refused or failed. Its
-// interface (settings, events, actions) stands in choice/api.go; every decision stands here. The ordinary
-// path is Prophet's.
+// Package choice decides for one front of a service with separate readers (prefill) and writers (decode): where a
+// request is read and answered, when it is held, tried again, refused or failed. Its interface (settings, events,
+// actions) stands in choice/api.go; every decision stands here. The ordinary path is Prophet's.
 package choice
 
 import (
@@ -41,6 +40,7 @@
 	backFirst   = 500 * time.Millisecond  // first pause before a trial
 	backMost    = 8 * time.Second         // longest pause
 	trialsFor   = 2                       // good trials before a server is back
+	onTrust     = 0.3                     // failing share that a server comes back with
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
 	// Time-outs and final answers.
@@ -353,7 +353,7 @@
 		if s.trials++; s.trials >= trialsFor {
 			pause := s.pause
 			s.fresh(r.now)
-			s.pause = pause / 2
+			s.pause, s.fail = pause/2, onTrust // one failure more and it is aside again
 			r.emit(Log{fmt.Sprintf("server %d is back", s.ID)})
 		}
 	case s.bad && a.trial && !failed:
