--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,6 @@
-// Package choice decides for one front of a service with separate readers (prefill) and writers (decode): where a
-// request is read and answered, when it is held, tried again, refused or failed. Its interface (settings, events,
-// actions) stands in choice/api.go; every decision stands here. The ordinary path is Prophet's.
+// Package choice decides for one front of a service with separate readers (prefill) and writers
+// (decode): where a request is read and answered, when it is held, repeated or given up. Its interface
+// (settings, events, actions) stands in choice/api.go; every decision stands here.
 package choice
 
 import (
