--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,7 +25,7 @@
 	farTimes     = 3.0                    // moves out of a cell taking so many times those inside, ...
 	farMore      = 0.25                   // ... and so many seconds more, make writers of the cell go first
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
-	coldPart     = 0.6                    // of its budget, the part that a cold server is sent
+	coldPart     = 0.5                    // of its budget, the part that a cold server is sent
 	mixedWeight  = 0.6                    // what a mixed server takes, whole requests, against a writer
 	keptMax      = 20000                  // remembered prefixes and sessions a server
 
@@ -256,6 +256,14 @@
 	s.bad, s.fail, s.done, s.load, s.count, s.pause, s.trials, s.seen = false, 0, 0, 0, 0, 0, 0, now
 }
 
+// present is the part of its capacity that s is taken to have: it grows evenly while s is cold.
+func (r *Router) present(s *server) float64 {
+	if !r.cold(s) {
+		return 1
+	}
+	return r.set.ColdFrom + (1-r.set.ColdFrom)*float64(r.now-s.ReadyAt)/float64(r.set.ColdFor)
+}
+
 func (r *Router) cold(s *server) bool {
 	return r.set.ColdFor > 0 && s.ReadyAt > 0 && r.now-s.ReadyAt < r.set.ColdFor
 }
@@ -398,10 +406,7 @@
 		return math.MaxInt64
 	}
 	m *= memoryShare / float64(r.set.Fronts)
-	if r.cold(s) {
-		m *= r.set.ColdFrom
-	}
-	return m
+	return m * r.present(s)
 }
 
 // moved learns how long a state took from its reader's cell to a writer's first token.
@@ -447,7 +452,7 @@
 			done, n = done+p.count/memory.Seconds(), n+1
 		}
 	}
-	budget := coldPart * r.set.OverloadFactor * r.set.ColdFrom * r.set.TipAfter.Seconds() * done / max(n, 1)
+	budget := coldPart * r.set.OverloadFactor * r.present(s) * r.set.TipAfter.Seconds() * done / max(n, 1)
 	return len(s.sends) == 0 || float64(len(s.sends)+1) <= budget
 }
 
@@ -814,12 +819,8 @@
 	if len(s.kept) > keptMax {
 		s.kept = map[uint64]float64{}
 	}
-	if q.Prefix != 0 {
-		s.kept[q.Prefix] = q.PrefixLen
-	}
-	if q.Session != 0 {
-		s.kept[q.Session] = q.PromptLen
-	}
+	s.kept[q.Prefix], s.kept[q.Session] = q.PrefixLen, q.PromptLen
+	delete(s.kept, 0)
 	r.learn(s, a, false, failGain, sec < patience*a.ahead*r.readPace+0.5)
 }
 
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -409,3 +409,37 @@
 	g.after(ms, ServerList{Scope: Failed})
 	one[Watch](t, g.after(time.Second))
 }
+
+// TestColdWriterIsSpared: a cold writer is empty and would get everything; what it gets stays within its budget.
+func TestColdWriterIsSpared(t *testing.T) {
+	set := testSettings()
+	set.OverloadFactor = 1
+	g := newRig(t, set, reader(1), reader(4), writer(2), writer(3))
+	var streams []Outcome
+	run := func(from RequestID, n int) (cold int) {
+		for id := from; id < from+RequestID(n); id++ {
+			acts := g.after(60*ms, g.request(id, 0, 400))
+			acts = g.after(20*ms, Outcome{Request: id, Server: one[Send](t, acts).Server, Result: ReadDone, Elapsed: 20 * ms})
+			s := one[Send](t, acts)
+			cold += int(b2f(s.Server == 3))
+			g.after(ms, First{Request: id, Attempt: 1, Server: s.Server, Elapsed: ms})
+			streams = append(streams, Outcome{Request: id, Attempt: 1, Server: s.Server, Result: Served, Over: true})
+			if g.now += 19 * ms; len(streams) > 6 {
+				g.step(streams[0])
+				streams = streams[1:]
+			}
+		}
+		return cold
+	}
+	run(1, 60)
+	g.step(ServerList{Scope: Changes, Servers: []Server{{ID: 3, Kind: 1, State: Ready, ReadyAt: g.now}}})
+	early := run(1000, 15) // one window of 1.5 s
+	g.now += 7 * time.Second
+	late := run(2000, 15)
+	if early < 1 || early > 4 {
+		t.Fatalf("%d sends of 15 to the writer just started", early)
+	}
+	if late < early {
+		t.Fatalf("%d sends when half warm, %d when just started", late, early)
+	}
+}
