Decide at full size: CPU, cold budgets below one send, ties between cells, crowded homes

CPU: judge sorted all peers for every server in every Step, and every front beat at 20 ms. Ties all went to the reader's cell, so cells with many readers drowned their writers.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,6 +1,7 @@
 // Package choice decides for one front of a service with separate readers (prefill) and writers
 // (decode): where a request is read and answered, when it is held, repeated or given up. Its interface
-// (settings, events, actions) stands in choice/api.go; every decision stands here.
+// (settings, events, actions) stands in choice/api.go; every decision stands here, what is remembered in
+// choice/state.go.
 package choice
 
 import (
@@ -12,18 +13,20 @@
 )
 
 const (
-	beat = 20 * time.Millisecond // how often a router with open requests looks again
+	beat     = 20 * time.Millisecond  // how often a router that holds or parks requests looks again
+	idleBeat = 200 * time.Millisecond // and how often one that only waits for servers' words does
 
 	// Holding and release.
 	starveAfter  = 2 * time.Second        // a held request this old may be promoted ...
 	promoteEvery = 4                      // ... but at most every so many releases
 	readCap      = 6                      // own reads at a reader
 	readBound    = 300 * time.Millisecond // own prompt tokens waiting at a reader, as reading time there
+	evenParts    = 1.3                    // home to more even parts of the requests, a reader passes some on
+	slowFrom     = 1.5                    // a reader so many times slower than the mean passes some on
+	homedPrior   = 1.0                    // requests that each is taken to be home to before any is seen
+	homedFor     = 30 * time.Second       // how long they count
 	spillMost    = 2                      // servers of the hash order that may read a prefix
 	memoryShare  = 0.95                   // part of its share of a writer's memory that a front fills
-	hopGain      = 0.1                    // weight of the newest move
-	farTimes     = 3.0                    // moves out of a cell taking so many times those inside, ...
-	farMore      = 0.25                   // ... and so many seconds more, make writers of the cell go first
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
 	coldPart     = 0.5                    // of its budget, the part that a cold server is sent
 	mixedWeight  = 0.6                    // what a mixed server takes, whole requests, against a writer
@@ -33,6 +36,7 @@
 	failGain    = 0.25                    // weight of the newest outcome
 	failBad     = 0.4                     // a server failing this part is put aside
 	memory      = 5 * time.Second         // how long work done counts
+	judgeEvery  = 100 * time.Millisecond  // between looks at all servers; a failure is looked at at once
 	slowPart    = 0.35                    // doing less than this part of what peers do is slow
 	enoughFor   = 8.0                     // pieces that peers would have finished before a server is judged
 	silentLeast = 1000 * time.Millisecond // no word for so long ...
@@ -52,98 +56,6 @@
 	parkPart   = 0.5                     // part of the release time that a read state may wait for a writer
 )
 
-// Router decides for one front. It is not safe for concurrent use.
-type Router struct {
-	set       Settings
-	salt      uint64
-	now       time.Duration
-	out       []Action
-	byID      map[ServerID]*server
-	servers   []*server // by id
-	reqs      map[RequestID]*request
-	held      []*request // waiting for room, no state anywhere
-	parked    []*request // read, waiting for a writer
-	order     []ranked   // used again by home
-	tenants   []bucket
-	newTokens []float64    // mean unread tokens of a prompt, by class
-	readPace  float64      // mean reading seconds a token, own queue included
-	firstTime float64      // mean seconds from a writer's send to the first token
-	hops      map[int]*hop // first-token times by the reader's cell
-	mixedDebt float64      // whole requests that mixed servers have yet to take
-	released  int          // releases since the last promotion
-	beating   bool
-	askAt     time.Duration
-}
-
-// server is what this front knows of one server.
-type server struct {
-	Server
-	role   Role
-	listed bool
-	n      int     // own attempts out
-	tokens float64 // charged to them
-	unread float64 // own prompt tokens waiting to be read there
-	pace1  float64 // seconds a waiting token takes, own queue included
-	kept   map[uint64]float64
-	full   time.Duration   // no room until
-	sends  []time.Duration // to a cold server, in the last window
-
-	fail       float64 // share of late outcomes that failed
-	done, load float64 // work finished, time with work out; both fade
-	count      float64 // pieces finished; fades
-	seen       time.Duration
-	waits      int           // attempts of which nothing was heard yet
-	heard      time.Duration // when s last said something, or the first of these was sent
-	bad        bool
-	back       time.Duration // next trial
-	pause      time.Duration
-	trials     int
-}
-
-// attempt is one send of a request.
-type attempt struct {
-	s      *server
-	out    bool
-	write  bool // has an effect; else a read
-	trial  bool
-	at     time.Duration
-	charge float64
-	quiet  bool    // nothing heard of it yet
-	unread float64 // of the prompt, while it waits to be read
-	ahead  float64 // own unread tokens at the server, this prompt's included
-}
-
-// request is one request from its arrival until its last attempt has an outcome.
-type request struct {
-	Request
-	class   *Class
-	at      time.Duration
-	att     []attempt
-	out     int
-	reader  *server // where its read state waits, ...
-	from    *server // ... or was when it was last sent to a writer
-	stateAt time.Duration
-	read    bool // some read was sent: state may be held
-	ran     bool // an attempt may have run, on
-	ranOn   *server
-	ranAt   time.Duration
-	started bool // its stream runs
-	over    bool // beyond its tenant's share
-	starved bool // promoted: its own tokens no longer count to the bound
-	ended   bool
-}
-
-// hop is what a state's move from a reader's cell takes, to a writer of the cell and to others.
-type hop struct{ near, far float64 }
-
-// ranked is a server in the hash order of a prefix.
-type ranked struct {
-	s    *server
-	hash uint64
-}
-
-type bucket struct{ level, rate float64 }
-
 // New makes the decisions' state for one front; fronts of a service get seeds of their own.
 func New(s Settings, seed uint64) (*Router, error) {
 	if err := s.Validate(); err != nil {
@@ -155,7 +67,7 @@
 	s.ReleaseWithin = cmp.Or(s.ReleaseWithin, 300*time.Millisecond)
 	s.ColdFrom = cmp.Or(s.ColdFrom, 0.25)
 	r := &Router{set: s, salt: seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
-		hops: map[int]*hop{}, newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
+		newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
 	for _, t := range s.Tenants {
 		rate := t.QuotaPerS / float64(s.Fronts)
 		r.tenants = append(r.tenants, bucket{level: 2 * rate, rate: rate})
@@ -174,17 +86,30 @@
 	for _, ev := range events {
 		r.handle(ev)
 	}
-	r.judge()
+	if r.now >= r.judgeAt {
+		r.judge()
+	}
 	r.watch()
 	r.unpark()
 	r.dispatch()
-	if (len(r.reqs) > 0 || r.set.AskForList) && !r.beating {
-		r.beating = true
-		r.emit(Wake{After: beat, Tag: 1})
-	}
+	r.sleep()
 	return r.out
 }
 
+// sleep asks for the next wake-up, unless one that is as early is on its way.
+func (r *Router) sleep() {
+	after := idleBeat
+	if len(r.held)+len(r.parked) > 0 {
+		after = beat
+	} else if len(r.reqs) == 0 && !r.set.AskForList {
+		return
+	}
+	if r.wakeAt <= r.now || r.now+after < r.wakeAt {
+		r.wakeAt = r.now + after
+		r.emit(Wake{After: after, Tag: 1})
+	}
+}
+
 func (r *Router) emit(a Action) { r.out = append(r.out, a) }
 
 func (r *Router) handle(ev Event) {
@@ -201,8 +126,6 @@
 		if q := r.reqs[ev.Request]; q != nil && !q.ended {
 			r.finish(q, nil)
 		}
-	case Timer:
-		r.beating = r.beating && ev.Tag != 1
 	}
 }
 
@@ -222,6 +145,8 @@
 		r.line(e)
 	}
 	slices.SortFunc(r.servers, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	r.count()
+	r.judgeAt = 0
 }
 
 // line takes one entry. A later start means a new process: empty, cold, and of unknown health.
@@ -261,7 +186,7 @@
 	if !r.cold(s) {
 		return 1
 	}
-	return r.set.ColdFrom + (1-r.set.ColdFrom)*float64(r.now-s.ReadyAt)/float64(r.set.ColdFor)
+	return r.set.ColdFrom + (1-r.set.ColdFrom)*float64(max(r.now-s.ReadyAt, 0))/float64(r.set.ColdFor)
 }
 
 func (r *Router) cold(s *server) bool {
@@ -278,6 +203,8 @@
 		n = min(n, 1)
 	}
 	s.done, s.count, s.load = s.done*f, s.count*f, s.load*f+n*dt
+	s.slow *= math.Exp(-dt / 10)
+	s.homed *= math.Exp(-dt / homedFor.Seconds())
 }
 
 // pace is the work that s finished for the time that work was out there.
@@ -288,39 +215,89 @@
 // as bad none is blamed, and never more than half of a role for being slow. It could hurt where a role has
 // two servers of very unlike speed.
 func (r *Router) judge() {
+	r.judgeAt = r.now + judgeEvery
 	for _, s := range r.servers {
 		r.age(s)
 	}
+	r.count()
 	for _, s := range r.servers {
 		if s.bad || !s.listed {
 			continue
 		}
-		var paces, fails []float64
-		work, pieces, peers, aside, quiet := 0.0, 0.0, 1, 1, 0
-		for _, p := range r.servers {
-			if p == s || p.role != s.role || !p.listed {
-				continue
-			}
-			peers, aside = peers+1, aside+int(b2f(p.bad))
-			quiet += int(b2f(!p.bad && r.silent(p)))
-			fails = append(fails, p.fail)
-			if !p.bad && p.load > 0.5 && !r.cold(p) {
-				paces = append(paces, p.pace())
-				work, pieces = work+p.done, pieces+p.count
-			}
-		}
-		switch due := median(paces) * s.load; {
-		case s.fail > failBad+median(fails):
+		f := &r.roles[s.role]
+		aside := int(f.listed - f.well + 1)
+		switch due := part(f.paces, 0.5) * s.load; {
+		case s.fail > failBad+part(f.fails, 0.4):
 			r.aside(s, "failing")
-		case r.silent(s) && 2*quiet < peers-aside:
+		case r.silent(s) && 2*(f.quiet-1) < int(f.listed)-aside:
 			r.aside(s, "silent")
-		case r.cold(s) || pieces < 1 || 2*aside > peers:
-		case due*pieces/work > enoughFor && s.done < slowPart*due:
+		case r.cold(s) || f.pieces < 1 || 2*aside > int(f.listed):
+		case due*f.pieces/f.work > enoughFor && s.done < slowPart*due:
 			r.aside(s, "slow")
 		}
 	}
 }
 
+// count sums up each role anew.
+func (r *Router) count() {
+	for i := range r.roles {
+		f := &r.roles[i]
+		*f = roleFigures{rate: f.rate, fails: f.fails[:0], paces: f.paces[:0]}
+	}
+	for _, s := range r.servers {
+		if !s.listed {
+			continue
+		}
+		f := &r.roles[s.role]
+		f.listed++
+		f.fails = append(f.fails, s.fail)
+		f.idle += b2f(s.n == 0)
+		if !r.cold(s) {
+			f.warm++
+			f.count += s.count
+		}
+		if s.bad {
+			continue
+		}
+		f.well++
+		f.quiet += int(b2f(r.silent(s)))
+		if s.load > 0.5 && !r.cold(s) {
+			f.paces = append(f.paces, s.pace())
+			f.work, f.pieces = f.work+s.done, f.pieces+s.count
+		}
+	}
+	r.flows()
+	for i := range r.roles {
+		f := &r.roles[i]
+		if f.warm > 0 {
+			f.rate = f.count / f.warm / memory.Seconds()
+		}
+		slices.Sort(f.fails)
+		slices.Sort(f.paces)
+	}
+}
+
+// flows sets the readers' parts of each cell and zone against the writers'.
+func (r *Router) flows() {
+	r.cells, r.zones, r.short = map[int]flow{}, map[int]flow{}, map[int]float64{}
+	for _, s := range r.servers {
+		if !s.listed || s.bad || s.role == Mixed {
+			continue
+		}
+		c, z := r.cells[s.Cell], r.zones[s.Zone]
+		part := r.present(s) / r.roles[s.role].well
+		if s.role == Reader {
+			c.reads, z.reads = c.reads+part, z.reads+part
+		} else {
+			c.writes, z.writes, c.writers = c.writes+part, z.writes+part, c.writers+1
+		}
+		r.cells[s.Cell], r.zones[s.Zone] = c, z
+	}
+	for id, c := range r.cells {
+		r.short[id] = max((c.writes-c.reads)/max(c.writers, 1), 0) + 1e-9
+	}
+}
+
 // silent tells that s has had attempts for much longer than the usual time and has said nothing since.
 // Attempts of an unsafe class have no time-out, so without it a stall would show at their deadlines only.
 func (r *Router) silent(s *server) bool {
@@ -331,29 +308,25 @@
 	return s.waits > 0 && r.now-s.heard > silentLeast+time.Duration(silentFor*usual*float64(time.Second))
 }
 
-// warm tells whether s is a listed server of the role that has been running for a while.
-func (r *Router) warm(s *server, role Role) bool { return s.role == role && s.listed && !r.cold(s) }
-
-// median takes the lower one of an even number; of none it is 1.
-func median(v []float64) float64 {
-	if len(v) == 0 {
-		return 1
-	}
-	slices.Sort(v)
-	return v[(len(v)-1)/2]
-}
+var roleNames = [...]string{"reader", "writer", "mixed server"}
 
 func (r *Router) aside(s *server, why string) {
+	if !s.bad {
+		r.roles[s.role].well--
+	}
 	s.bad, s.trials = true, 0
 	s.pause = min(max(2*s.pause, backFirst), backMost)
 	s.back = r.now + s.pause
-	r.emit(Log{fmt.Sprintf("server %d put aside: %s (failing %.2f)", s.ID, why, s.fail)})
+	r.emit(Log{fmt.Sprintf("%s %d put aside: %s (failing %.2f)", roleNames[s.role], s.ID, why, s.fail)})
 }
 
 // learn takes one outcome into the health of its server. A failed connection or a broken one speaks louder
 // than an error: the process is likely gone, long before the list says so.
 func (r *Router) learn(s *server, a *attempt, failed bool, gain float64, usual bool) {
 	s.fail += gain * (b2f(failed) - s.fail)
+	if failed {
+		r.judgeAt = r.now
+	}
 	switch {
 	case s.bad && failed && r.now >= s.back:
 		r.aside(s, "trial failed")
@@ -362,6 +335,7 @@
 			pause := s.pause
 			s.fresh(r.now)
 			s.pause, s.fail = pause/2, onTrust // one failure more and it is aside again
+			r.judgeAt = r.now
 			r.emit(Log{fmt.Sprintf("server %d is back", s.ID)})
 		}
 	case s.bad && a.trial && !failed:
@@ -392,11 +366,11 @@
 // usable tells whether anything may go to s at all. A server put aside takes one trial at a time, unless
 // all of its role are: then the least bad serve.
 func (r *Router) usable(s *server, q *request) bool {
-	if !s.listed || !r.coldRoom(s) {
+	if !s.listed || !r.coldRoom(s, q) {
 		return false
 	}
 	trial := s.n == 0 && r.now >= s.back && (s.role == Reader || q.class.Effect == Safe)
-	return !s.bad || trial || r.well(s.role) == 0
+	return !s.bad || trial || r.roles[s.role].well == 0
 }
 
 // memory is the part of a writer's memory that own streams may fill.
@@ -409,51 +383,34 @@
 	return m * r.present(s)
 }
 
-// moved learns how long a state took from its reader's cell to a writer's first token.
-func (r *Router) moved(q *request, to *server, took time.Duration) {
-	if q.from == nil {
-		return
-	}
-	h := r.hops[q.from.Cell]
-	if h == nil {
-		h = &hop{}
-		r.hops[q.from.Cell] = h
-	}
-	v := &h.near
-	if to.Cell != q.from.Cell {
-		v = &h.far
-	}
-	*v += hopGain * (took.Seconds() - *v)
-}
-
-// farSlow tells that states leave the reader's cell much later than they reach a writer inside it: the
-// cell's link is crowded or hurt. While it is so, writers of the cell with room go before the others.
-func (r *Router) farSlow(q *request) bool {
-	if q.reader == nil || r.hops[q.reader.Cell] == nil {
-		return false
-	}
-	h := *r.hops[q.reader.Cell]
-	return h.far > farTimes*h.near+farMore
-}
-
-// coldRoom keeps a server that has just started within its budget: what warm peers of its role finish is
-// less than they can do, and each front counts only its own, so that all fronts together stay under the
-// whole. The first send of a window is always allowed.
-func (r *Router) coldRoom(s *server) bool {
+// coldRoom keeps a server that has just started within its budget, with no word between fronts. It may get
+// the part of a warm peer's work that it can do. Where this front's part of that is a request or more in a
+// window it counts them. Below one it sends one at most, and only for requests whose draw is under a chance
+// which makes the mean right over all fronts: tries is how many it would like to send. The draw belongs to
+// the request, so one turned away by a cold server is turned away by all that are as cold, and a role that
+// restarted as a whole is not filled by requests that look for the server that takes them.
+func (r *Router) coldRoom(s *server, q *request) bool {
 	if !r.cold(s) {
 		return true
 	}
 	for len(s.sends) > 0 && r.now-s.sends[0] > r.set.TipAfter {
 		s.sends = s.sends[1:]
 	}
-	done, n := 0.0, 0.0
-	for _, p := range r.servers {
-		if r.warm(p, s.role) {
-			done, n = done+p.count/memory.Seconds(), n+1
-		}
+	f := &r.roles[s.role]
+	part := min(1, coldPart*r.set.OverloadFactor) * r.present(s)
+	budget := part * f.rate * r.set.TipAfter.Seconds()
+	if budget >= 1 || len(s.sends) > 0 {
+		return float64(len(s.sends)+1) <= budget
+	}
+	crowd := 1.0
+	if s.role != Reader && s.n == 0 {
+		crowd = f.listed / max(f.idle, 1)
 	}
-	budget := coldPart * r.set.OverloadFactor * r.present(s) * r.set.TipAfter.Seconds() * done / max(n, 1)
-	return len(s.sends) == 0 || float64(len(s.sends)+1) <= budget
+	chance := 1 - math.Exp(-part/crowd)
+	if budget > 0.01 {
+		chance = 1 - math.Pow(1-budget, part/crowd/budget)
+	}
+	return draw(r.salt+1, uint64(q.ID)) < chance
 }
 
 // ---- Requests ----
@@ -508,17 +465,6 @@
 	}
 }
 
-// oldest finds the request that has waited longest, since before limit at least.
-func oldest(qs []*request, limit time.Duration) int {
-	best := -1
-	for i, q := range qs {
-		if q.at < limit && (best < 0 || q.at < qs[best].at) {
-			best = i
-		}
-	}
-	return best
-}
-
 // hopeless tells that a held request can't be answered in time any more; it is refused early, while trying
 // again later may still help its client.
 func (r *Router) hopeless(q *request) bool {
@@ -529,8 +475,8 @@
 
 // launch sends a held request to a reader, or whole to a mixed server, if there is room for it.
 func (r *Router) launch(q *request) bool {
-	readers, mixed := r.any(Reader), r.well(Mixed)
-	if r.any(Mixed) && (!readers || r.mixedDebt >= 1) {
+	readers, mixed := r.roles[Reader].listed > 0, r.roles[Mixed].well
+	if r.roles[Mixed].listed > 0 && (!readers || r.mixedDebt >= 1) {
 		if s := r.home(q, Mixed); s != nil {
 			r.mixedDebt = max(r.mixedDebt-1, -1)
 			r.send(q, s, true)
@@ -552,24 +498,12 @@
 	}
 	if mixed > 0 {
 		m := mixedWeight * mixed
-		r.mixedDebt = min(r.mixedDebt+m/(m+r.well(Writer)), 2)
+		r.mixedDebt = min(r.mixedDebt+m/(m+r.roles[Writer].well), 2)
 	}
 	r.send(q, s, false)
 	return true
 }
 
-// well counts the listed servers of a role that are not put aside, any the listed ones.
-func (r *Router) well(role Role) (n float64) {
-	for _, s := range r.servers {
-		n += b2f(s.role == role && s.listed && !s.bad)
-	}
-	return n
-}
-
-func (r *Router) any(role Role) bool {
-	return slices.ContainsFunc(r.servers, func(s *server) bool { return s.role == role && s.listed })
-}
-
 // home walks the servers of a role in the hash order of the request's prefix and returns the first with
 // room. The order is over all known servers, so one that is put aside or spills does not move the homes of
 // others. Only the first spillMost that may be sent to at all are asked: when all are busy, a prompt read
@@ -588,16 +522,31 @@
 		}
 	}
 	slices.SortFunc(r.order, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-	warm := 0
+	if !q.homed && len(r.order) > 0 {
+		q.homed = true
+		r.order[0].s.homed++
+	}
+	var home *server
+	total, warm := 0.0, 0
+	for _, e := range r.order {
+		total += e.s.homed
+	}
 	for _, e := range r.order {
 		if r.room(e.s, q) {
-			return e.s
+			parts := (e.s.homed + homedPrior) / (total/float64(len(r.order)) + homedPrior)
+			parts *= max(e.s.slow/slowFrom, 1)
+			if draw(uint64(e.s.ID), cmp.Or(q.Session, uint64(q.ID)))*parts <= evenParts {
+				return e.s
+			}
+			if home == nil {
+				home = e.s
+			}
 		}
-		if warm += int(b2f(!r.cold(e.s))); warm >= spillMost {
+		if warm += int(b2f(!r.cold(e.s))); warm >= spillMost && home == nil {
 			break
 		}
 	}
-	return nil
+	return home
 }
 
 // unread guesses the prompt tokens that s has yet to read.
@@ -628,21 +577,21 @@
 // come last.
 func (r *Router) writer(q *request, needRoom bool) *server {
 	var best *server
-	var bestRank [7]float64
-	stay, writers := r.farSlow(q), r.any(Writer)
+	var bestRank [6]float64
+	writers := r.roles[Writer].listed > 0
+	keepCell, keepZone := r.keeps(q)
 	for _, s := range r.servers {
-		spared := s.role == Reader || s.role == Mixed && q.reader != nil && writers && !stay
+		spared := s.role == Reader || s.role == Mixed && q.reader != nil && writers
 		if spared || !s.listed || !r.allowed(q, s) {
 			continue
 		}
 		room := r.room(s, q)
-		if needRoom && !room || !room && !r.coldRoom(s) {
+		if needRoom && !room || !room && !r.coldRoom(s, q) {
 			continue
 		}
-		tie := float64(mix(r.salt^uint64(s.ID)) >> 12)
-		away, abroad := q.reader != nil && s.Cell != q.reader.Cell, q.reader != nil && s.Zone != q.reader.Zone
-		rank := [7]float64{b2f(!room) + b2f(!room && s.bad), b2f(q.triedOn(s)), b2f(stay && away),
-			float64(s.n), b2f(away), b2f(abroad), tie}
+		rank := [6]float64{b2f(!room) + b2f(!room && s.bad), b2f(q.triedOn(s)), float64(s.n),
+			b2f(!keepCell || s.Cell != q.reader.Cell), b2f(!keepZone || s.Zone != q.reader.Zone),
+			-math.Log(draw(r.salt^uint64(s.ID), uint64(q.ID))) / r.short[s.Cell]}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
 			best, bestRank = s, rank
 		}
@@ -650,6 +599,19 @@
 	return best
 }
 
+// keeps tells whether ties between writers go to the reader's cell, and to its zone. They do, unless the
+// cell has a larger part of the readers than of the writers: then only as many stay as its writers' part,
+// and the rest goes where writers are short of readers. With few fronts the count of own streams would see
+// to it, but where a front has less than a stream at each server nearly all is tied.
+func (r *Router) keeps(q *request) (cell, zone bool) {
+	if q.reader == nil {
+		return false, false
+	}
+	u := draw(r.salt, uint64(q.ID))
+	c, z := r.cells[q.reader.Cell], r.zones[q.reader.Zone]
+	return u*c.reads <= c.writes, u*z.reads <= z.writes
+}
+
 // allowed keeps the effect rules: where an earlier attempt may have run, only a safe class goes anywhere,
 // a keyed one inside its group and window.
 func (r *Router) allowed(q *request, s *server) bool {
@@ -668,10 +630,6 @@
 	return true
 }
 
-func (q *request) triedOn(s *server) bool {
-	return slices.ContainsFunc(q.att, func(a attempt) bool { return a.s == s })
-}
-
 // send starts an attempt and books what it takes.
 func (r *Router) send(q *request, s *server, write bool) {
 	a := attempt{s: s, out: true, quiet: true, write: write, at: r.now, trial: s.bad}
@@ -693,7 +651,6 @@
 	q.att = append(q.att, a)
 	q.out++
 	q.read = q.read || !write
-	q.from = q.reader
 	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a)})
 }
 
@@ -723,7 +680,6 @@
 		r.paced(a, ev.Elapsed)
 	}
 	r.hear(a, true)
-	r.moved(q, a.s, ev.Elapsed)
 	r.learn(a.s, a, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
 }
 
@@ -770,9 +726,11 @@
 	case Errored:
 		r.learn(s, a, true, failGain, false)
 	case TimedOut:
+		if !a.write {
+			s.slow += 0.3 * (patience - s.slow)
+		}
 		r.learn(s, a, r.now < q.Due || a.at+time.Second < r.now, failGain, false)
 		if a.write {
-			r.moved(q, s, ev.Elapsed)
 			r.firstTime += 0.02 * (ev.Elapsed.Seconds() - r.firstTime)
 		}
 	case ConnectFailed, Reset:
@@ -805,6 +763,7 @@
 func (r *Router) paced(a *attempt, took time.Duration) {
 	v := took.Seconds() / max(a.ahead, 200)
 	a.s.pace1 += 0.1 * (v - a.s.pace1)
+	a.s.slow += 0.3 * (v/r.readPace - a.s.slow)
 	if a.s.role == Reader {
 		r.readPace += 0.05 * (v - r.readPace)
 	}
@@ -899,23 +858,3 @@
 		delete(r.reqs, q.ID)
 	}
 }
-
-func without(qs []*request, q *request) []*request {
-	return slices.DeleteFunc(qs, func(o *request) bool { return o == q })
-}
-
-// mix is a 64-bit finaliser; every front hashes alike.
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
-
-func b2f(v bool) float64 {
-	if v {
-		return 1
-	}
-	return 0
-}
