--- a/choice/choice.go
+++ b/choice/choice.go
@@ -25,6 +25,9 @@
 	slowFrom     = 1.5                    // a reader so many times slower than the mean passes some on
 	homedPrior   = 1.0                    // requests that each is taken to be home to before any is seen
 	homedFor     = 30 * time.Second       // how long they count
+	homesPart    = 3.0                    // readers for a prefix, for each even part of the requests ...
+	homesMost    = 0.2                    // ... but no more than this part of them, and one
+	keysFade     = 20 * time.Second       // counts of prefixes seen are halved this often
 	spillMost    = 2                      // servers of the hash order that may read a prefix
 	memoryShare  = 0.95                   // part of its share of a writer's memory that a front fills
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
@@ -37,8 +40,6 @@
 	failBad     = 0.4                     // a server failing this part is put aside
 	memory      = 5 * time.Second         // how long work done counts
 	judgeEvery  = 100 * time.Millisecond  // between looks at all servers; a failure is looked at at once
-	slowPart    = 0.35                    // doing less than this part of what peers do is slow
-	enoughFor   = 8.0                     // pieces that peers would have finished before a server is judged
 	silentLeast = 1000 * time.Millisecond // no word for so long ...
 	silentFor   = 6.0                     // ... and so many times the usual is silence
 	backFirst   = 500 * time.Millisecond  // first pause before a trial
@@ -47,6 +48,13 @@
 	onTrust     = 0.3                     // failing share that a server comes back with
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
+	// Refusing on arrival where answers come late by and large.
+	shedBack = 1.5  // an answer in time lowers it by so much, a late one raises it by its lost worth
+	shedGain = 0.15 // change a second of the part refused
+	shedMost = 0.9
+	overShed = 3.0 // requests beyond their tenant's share are refused so many times as often
+	jamFrom  = 0.1 // from this part on what has missed its aim is given up
+
 	// Time-outs and final answers.
 	readLeast  = 800 * time.Millisecond  // least time-out of a read
 	firstLeast = 1500 * time.Millisecond // least time-out of a writer's first token
@@ -67,7 +75,8 @@
 	s.ReleaseWithin = cmp.Or(s.ReleaseWithin, 300*time.Millisecond)
 	s.ColdFrom = cmp.Or(s.ColdFrom, 0.25)
 	r := &Router{set: s, salt: seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
-		newTokens: make([]float64, len(s.Classes)), readPace: 1e-4, firstTime: 0.3}
+		keys: map[uint64]float64{}, newTokens: make([]float64, len(s.Classes)), readPace: 1e-4}
+	r.firstTime = 0.3
 	for _, t := range s.Tenants {
 		rate := t.QuotaPerS / float64(s.Fronts)
 		r.tenants = append(r.tenants, bucket{level: 2 * rate, rate: rate})
@@ -178,7 +187,7 @@
 // ---- Health: one notion for errors, broken connections, stalls and slowness ----
 
 func (s *server) fresh(now time.Duration) {
-	s.bad, s.fail, s.done, s.load, s.count, s.pause, s.trials, s.seen = false, 0, 0, 0, 0, 0, 0, now
+	s.bad, s.fail, s.count, s.slow, s.pause, s.trials, s.seen = false, 0, 0, 0, 0, 0, now
 }
 
 // present is the part of its capacity that s is taken to have: it grows evenly while s is cold.
@@ -193,27 +202,18 @@
 	return r.set.ColdFor > 0 && s.ReadyAt > 0 && r.now-s.ReadyAt < r.set.ColdFor
 }
 
-// age brings the fading figures of s to now. A reader is busy or not; a writer works on each stream.
+// age brings the fading figures of s to now.
 func (r *Router) age(s *server) {
 	dt := (r.now - s.seen).Seconds()
 	s.seen = r.now
-	f := math.Exp(-dt / memory.Seconds())
-	n := float64(s.n)
-	if s.role == Reader {
-		n = min(n, 1)
-	}
-	s.done, s.count, s.load = s.done*f, s.count*f, s.load*f+n*dt
+	s.count *= math.Exp(-dt / memory.Seconds())
 	s.slow *= math.Exp(-dt / 10)
 	s.homed *= math.Exp(-dt / homedFor.Seconds())
 }
 
-// pace is the work that s finished for the time that work was out there.
-func (s *server) pace() float64 { return (s.done + 1e-9) / (s.load + 1e-3) }
-
-// judge puts servers aside that do far worse than the peers of their role: they fail more, say nothing, or
-// finish far less. So it answers crashed, failing, stalled, cut-off and slow servers alike. When most are
-// as bad none is blamed, and never more than half of a role for being slow. It could hurt where a role has
-// two servers of very unlike speed.
+// judge puts servers aside that do far worse than the peers of their role: they fail more or say
+// nothing. So it answers crashed, failing, stalled and cut-off servers alike. When most are as bad none is
+// blamed.
 func (r *Router) judge() {
 	r.judgeAt = r.now + judgeEvery
 	for _, s := range r.servers {
@@ -226,14 +226,11 @@
 		}
 		f := &r.roles[s.role]
 		aside := int(f.listed - f.well + 1)
-		switch due := part(f.paces, 0.5) * s.load; {
-		case s.fail > failBad+part(f.fails, 0.4):
+		switch {
+		case s.fail > failBad+f.fails[(len(f.fails)-1)/2]:
 			r.aside(s, "failing")
 		case r.silent(s) && 2*(f.quiet-1) < int(f.listed)-aside:
 			r.aside(s, "silent")
-		case r.cold(s) || f.pieces < 1 || 2*aside > int(f.listed):
-		case due*f.pieces/f.work > enoughFor && s.done < slowPart*due:
-			r.aside(s, "slow")
 		}
 	}
 }
@@ -242,7 +239,7 @@
 func (r *Router) count() {
 	for i := range r.roles {
 		f := &r.roles[i]
-		*f = roleFigures{rate: f.rate, fails: f.fails[:0], paces: f.paces[:0]}
+		*f = roleFigures{rate: f.rate, fails: f.fails[:0]}
 	}
 	for _, s := range r.servers {
 		if !s.listed {
@@ -252,6 +249,7 @@
 		f.listed++
 		f.fails = append(f.fails, s.fail)
 		f.idle += b2f(s.n == 0)
+		f.own += float64(s.n)
 		if !r.cold(s) {
 			f.warm++
 			f.count += s.count
@@ -261,10 +259,6 @@
 		}
 		f.well++
 		f.quiet += int(b2f(r.silent(s)))
-		if s.load > 0.5 && !r.cold(s) {
-			f.paces = append(f.paces, s.pace())
-			f.work, f.pieces = f.work+s.done, f.pieces+s.count
-		}
 	}
 	r.flows()
 	for i := range r.roles {
@@ -273,7 +267,6 @@
 			f.rate = f.count / f.warm / memory.Seconds()
 		}
 		slices.Sort(f.fails)
-		slices.Sort(f.paces)
 	}
 }
 
@@ -332,10 +325,7 @@
 		r.aside(s, "trial failed")
 	case s.bad && a.trial && !failed && usual:
 		if s.trials++; s.trials >= trialsFor {
-			pause := s.pause
-			s.fresh(r.now)
-			s.pause, s.fail = pause/2, onTrust // one failure more and it is aside again
-			r.judgeAt = r.now
+			s.bad, s.pause, s.fail, r.judgeAt = false, s.pause/2, onTrust, r.now // back on trust
 			r.emit(Log{fmt.Sprintf("server %d is back", s.ID)})
 		}
 	case s.bad && a.trial && !failed:
@@ -383,12 +373,11 @@
 	return m * r.present(s)
 }
 
-// coldRoom keeps a server that has just started within its budget, with no word between fronts. It may get
+// coldRoom keeps a server that has just started within its budget, with no word between fronts: it may get
 // the part of a warm peer's work that it can do. Where this front's part of that is a request or more in a
-// window it counts them. Below one it sends one at most, and only for requests whose draw is under a chance
-// which makes the mean right over all fronts: tries is how many it would like to send. The draw belongs to
-// the request, so one turned away by a cold server is turned away by all that are as cold, and a role that
-// restarted as a whole is not filled by requests that look for the server that takes them.
+// window it counts them. Below one it sends one at most, for requests whose draw is under a chance that makes
+// the mean right over all fronts (crowd: the even parts of the work that come here as it looks idle). The
+// draw is the request's: what one cold server turns away all do, or a role that restarted would fill up.
 func (r *Router) coldRoom(s *server, q *request) bool {
 	if !r.cold(s) {
 		return true
@@ -399,11 +388,11 @@
 	f := &r.roles[s.role]
 	part := min(1, coldPart*r.set.OverloadFactor) * r.present(s)
 	budget := part * f.rate * r.set.TipAfter.Seconds()
-	if budget >= 1 || len(s.sends) > 0 {
-		return float64(len(s.sends)+1) <= budget
-	}
 	crowd := 1.0
-	if s.role != Reader && s.n == 0 {
+	switch {
+	case budget >= 1 || len(s.sends) > 0:
+		return float64(len(s.sends)+1) <= budget
+	case s.role != Reader && s.n == 0:
 		crowd = f.listed / max(f.idle, 1)
 	}
 	chance := 1 - math.Exp(-part/crowd)
@@ -426,8 +415,14 @@
 			t.level--
 		}
 	}
+	r.seeKey(q)
 	r.reqs[ev.ID] = q
 	r.held = append(r.held, q)
+	chance := r.shed
+	if q.over {
+		chance *= overShed
+	}
+	q.shed = draw(r.salt+2, uint64(q.ID)) < chance
 }
 
 // dispatch releases held requests: shortest prompt first, and every promoteEvery-th time one that starved.
@@ -465,12 +460,35 @@
 	}
 }
 
+// feel takes how long a request took to its first token, against its aim, into the part of new requests
+// that is refused on arrival. Where answers come late by and large, more is asked than can be done in time,
+// whatever the cause: a surge, servers gone, cold or slow. Then a queue only makes all late, so as much is
+// refused as keeps the rest in time. It changes by time passed, so that a front with few requests and one
+// with many act alike. It could hurt where lateness comes from something that less work does not mend.
+func (r *Router) feel(q *request) {
+	dt := min(r.now-r.feltAt, time.Second).Seconds()
+	r.feltAt = r.now
+	step := -shedBack
+	if r.now > q.aimAt() {
+		step = 1 - q.class.LateWorth
+	}
+	r.shed = min(max(r.shed+shedGain*dt*step, 0), shedMost)
+}
+
+// aimAt is when the first token is wanted.
+func (q *request) aimAt() time.Duration {
+	return q.at + q.class.Aim + time.Duration(q.PromptLen/1000*float64(q.class.AimPer1000))
+}
+
+// jammed tells that q has missed its aim while answers come late by and large: the place it would take is
+// worth more to one that can be in time.
+func (r *Router) jammed(q *request) bool { return r.shed > jamFrom && r.now >= q.aimAt() }
+
 // hopeless tells that a held request can't be answered in time any more; it is refused early, while trying
 // again later may still help its client.
 func (r *Router) hopeless(q *request) bool {
 	need := time.Duration((r.newTokens[q.Class]*r.readPace/4 + r.firstTime/4) * float64(time.Second))
-	aim := q.class.Aim + time.Duration(q.PromptLen/1000*float64(q.class.AimPer1000))
-	return r.now+max(margin, need) >= min(q.Due, q.at+aim) || len(q.att) >= r.set.MaxAttempts
+	return r.now+max(margin, need) >= min(q.Due, q.aimAt()) || len(q.att) >= r.set.MaxAttempts || q.shed
 }
 
 // launch sends a held request to a reader, or whole to a mixed server, if there is room for it.
@@ -504,17 +522,14 @@
 	return true
 }
 
-// home walks the servers of a role in the hash order of the request's prefix and returns the first with
-// room. The order is over all known servers, so one that is put aside or spills does not move the homes of
-// others. Only the first spillMost that may be sent to at all are asked: when all are busy, a prompt read
-// far down the order costs far more than it would at home, pushes out what others keep there, and so makes
-// the jam that it flees.
+// home walks the servers of a role in the hash order of the prefix and returns the first with room. All known
+// servers are in the order, so one put aside does not move the homes of others. Only the first spillMost that
+// may be sent to are asked: a prompt read far down the order pushes out what others keep there.
 func (r *Router) home(q *request, role Role) *server {
-	key := cmp.Or(q.Prefix, q.Session)
 	r.order = r.order[:0]
 	for _, s := range r.servers {
 		if s.role == role && r.usable(s, q) {
-			h := mix(key^mix(uint64(s.ID))) >> 1
+			h := mix(q.key()^mix(uint64(s.ID))) >> 1
 			if !q.triedOn(s) {
 				h |= 1 << 63
 			}
@@ -522,6 +537,12 @@
 		}
 	}
 	slices.SortFunc(r.order, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	// a key of which much is seen has several homes, and each session keeps to one of them
+	readers := float64(len(r.order))
+	homes := r.order[:min(1+int(min(r.popular(q)*homesPart, homesMost)*readers), len(r.order))]
+	slices.SortFunc(homes, func(a, b ranked) int {
+		return cmp.Compare(draw(uint64(b.s.ID), q.Session), draw(uint64(a.s.ID), q.Session))
+	})
 	if !q.homed && len(r.order) > 0 {
 		q.homed = true
 		r.order[0].s.homed++
@@ -549,6 +570,29 @@
 	return home
 }
 
+// key is what homes a request: the beginning that it shares, else its session.
+func (q *request) key() uint64 { return cmp.Or(q.Prefix, q.Session) }
+
+// popular is the part of this front's requests that share the key of q, of late. Every front sees about the
+// same mix, so all spread a popular key over about the same readers.
+func (r *Router) popular(q *request) float64 {
+	return max(r.keys[q.key()]-1, 0) / (r.keysAll + 5)
+}
+
+// seeKey counts the key of a new request; counts are halved now and then, so that old ones fade.
+func (r *Router) seeKey(q *request) {
+	if r.now > r.fadeAt {
+		r.fadeAt, r.keysAll = r.now+keysFade, r.keysAll/2
+		for k, n := range r.keys {
+			if r.keys[k] = n / 2; n < 0.5 {
+				delete(r.keys, k)
+			}
+		}
+	}
+	r.keys[q.key()]++
+	r.keysAll++
+}
+
 // unread guesses the prompt tokens that s has yet to read.
 func (r *Router) unread(q *request, s *server) float64 {
 	have := max(s.kept[q.Prefix], s.kept[q.Session])
@@ -604,8 +648,9 @@
 // and the rest goes where writers are short of readers. With few fronts the count of own streams would see
 // to it, but where a front has less than a stream at each server nearly all is tied.
 func (r *Router) keeps(q *request) (cell, zone bool) {
-	if q.reader == nil {
-		return false, false
+	f := &r.roles[Writer]
+	if q.reader == nil || f.own >= f.listed {
+		return q.reader != nil, q.reader != nil
 	}
 	u := draw(r.salt, uint64(q.ID))
 	c, z := r.cells[q.reader.Cell], r.zones[q.reader.Zone]
@@ -660,8 +705,12 @@
 	if a.write {
 		usual, least, more = usual+r.firstTime, firstLeast, 1
 	}
-	if r.set.MaxAttempts-len(q.att) < more || a.write && q.class.Effect != Safe {
-		return 0
+	limit := time.Duration(0)
+	if r.shed > jamFrom {
+		limit = max(q.aimAt()-r.now, margin)
+	}
+	if r.set.MaxAttempts-len(q.att) < more || a.write && q.class.Effect != Safe || limit > 0 {
+		return limit
 	}
 	return max(least, time.Duration(patience*usual*float64(time.Second)))
 }
@@ -673,6 +722,7 @@
 	}
 	a := &q.att[ev.Attempt]
 	q.started, q.reader = true, nil
+	r.feel(q)
 	if a.s.role == Writer {
 		r.firstTime += 0.05 * (ev.Elapsed.Seconds() - r.firstTime)
 	}
@@ -722,7 +772,7 @@
 	case ReadDone:
 		r.readDone(q, a, ev)
 	case Served:
-		s.done, s.count = s.done+1, s.count+1
+		s.count++
 	case Errored:
 		r.learn(s, a, true, failGain, false)
 	case TimedOut:
@@ -774,7 +824,7 @@
 	r.paced(a, ev.Elapsed)
 	fresh := max(q.PromptLen-ev.Kept, 0) + 200
 	r.newTokens[q.Class] += 0.05 * (fresh - r.newTokens[q.Class])
-	s.done, s.count = s.done+fresh, s.count+1
+	s.count++
 	if len(s.kept) > keptMax {
 		s.kept = map[uint64]float64{}
 	}
@@ -787,7 +837,7 @@
 func (r *Router) place(q *request) {
 	s := r.writer(q, false)
 	switch {
-	case len(q.att) >= r.set.MaxAttempts || r.now >= q.Due:
+	case len(q.att) >= r.set.MaxAttempts || r.now >= q.Due || r.jammed(q):
 		r.finish(q, r.no(q))
 	case s != nil:
 		r.send(q, s, true)
@@ -815,7 +865,7 @@
 func (r *Router) again(q *request, a *attempt, ev Outcome) {
 	waits := a.write && q.reader != nil && !ev.NoState
 	switch {
-	case r.now >= q.Due || len(q.att) >= r.set.MaxAttempts, q.ran && q.class.Effect == Unsafe,
+	case r.now >= q.Due || len(q.att) >= r.set.MaxAttempts || r.jammed(q), q.ran && q.class.Effect == Unsafe,
 		q.ran && q.class.Effect == Keyed && !waits:
 		r.finish(q, r.no(q))
 	case waits:
@@ -842,6 +892,9 @@
 // held.
 func (r *Router) finish(q *request, answer Action) {
 	q.ended = true
+	if !q.started && !q.shed {
+		r.feel(q)
+	}
 	if answer != nil {
 		r.emit(answer)
 	}
--- /dev/null
+++ b/choice/scale_test.go
@@ -0,0 +1,263 @@
+package choice
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// fleet runs many Routers over the same servers and counts what all of them send to each.
+type fleet struct {
+	rnd  *rand.Rand
+	rigs []*rig
+	sent map[ServerID]int
+	next RequestID
+	kind map[ServerID]Role
+}
+
+func newFleet(t *testing.T, s Settings, fronts int, servers []Server) *fleet {
+	t.Helper()
+	f := &fleet{rnd: rand.New(rand.NewSource(int64(fronts))), sent: map[ServerID]int{}, kind: map[ServerID]Role{}}
+	s.Fronts = fronts
+	for _, e := range servers {
+		f.kind[e.ID] = s.Kinds[e.Kind].Role
+	}
+	for i := range fronts {
+		r, err := New(s, uint64(1000+i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		g := &rig{t: t, r: r, now: time.Minute}
+		g.step(ServerList{Scope: Cached, Servers: servers})
+		f.rigs = append(f.rigs, g)
+	}
+	return f
+}
+
+// play sends n requests, spread over d and over random fronts; each read and each answer ends well at once.
+func (f *fleet) play(n int, d time.Duration, prefix func() uint64) (refused int) {
+	for i := range n {
+		g := f.rigs[f.rnd.Intn(len(f.rigs))]
+		g.now = max(g.now, time.Minute+time.Duration(i)*d/time.Duration(n))
+		f.next++
+		q := g.request(f.next, 0, 1500)
+		q.Prefix = prefix()
+		acts := g.step(q)
+		for a := 0; ; a++ {
+			sends := pick[Send](acts)
+			if len(sends) == 0 {
+				refused += len(pick[Refuse](acts))
+				acts = g.step(ClientGone{f.next})
+				break
+			}
+			f.sent[sends[0].Server]++
+			if f.kind[sends[0].Server] == Reader {
+				acts = g.step(Outcome{Request: f.next, Attempt: a, Server: sends[0].Server, Result: ReadDone, Elapsed: 20 * ms})
+				continue
+			}
+			g.step(First{Request: f.next, Attempt: a, Server: sends[0].Server, Elapsed: 20 * ms})
+			g.step(Outcome{Request: f.next, Attempt: a, Server: sends[0].Server, Result: Served, Over: true, Elapsed: 50 * ms})
+			break
+		}
+	}
+	return refused
+}
+
+func pool(readers, writers int) []Server {
+	var out []Server
+	for i := range readers {
+		s := reader(ServerID(100 + i))
+		s.Cell = i / 4
+		out = append(out, s)
+	}
+	for i := range writers {
+		s := writer(ServerID(500 + i))
+		s.Cell = i / 4
+		out = append(out, s)
+	}
+	return out
+}
+
+// TestFleetKeepsColdBudget: whatever the number of fronts, all of them together send a server that has just started
+// no more than an even part of the traffic, also when a whole role restarted; and it is not left without work.
+func TestFleetKeepsColdBudget(t *testing.T) {
+	for _, fronts := range []int{1, 4, 300} {
+		for name, cold := range map[string]func(i int) bool{
+			"one writer": func(i int) bool { return i == 12 },
+			"one reader": func(i int) bool { return i == 3 },
+			"writers":    func(i int) bool { return i >= 12 },
+			"readers":    func(i int) bool { return i < 12 },
+			"hot home":   nil, // the reader of a prefix that most requests share
+		} {
+			t.Run(fmt.Sprintf("%d fronts, %s", fronts, name), func(t *testing.T) {
+				servers, colds := pool(12, 24), 0
+				s := testSettings()
+				f := newFleet(t, s, fronts, servers)
+				prefix := func() uint64 { return uint64(f.rnd.Intn(200)) }
+				f.play(2400, 30*time.Second, prefix)
+				if cold == nil {
+					f.sent, prefix = map[ServerID]int{}, func() uint64 { return 7 }
+					f.play(100, 0, prefix)
+					home := 0
+					for i := range 12 {
+						if f.sent[servers[i].ID] > f.sent[servers[home].ID] {
+							home = i
+						}
+					}
+					cold = func(i int) bool { return i == home }
+				}
+				f.sent = map[ServerID]int{}
+				for i := range servers {
+					if cold(i) {
+						servers[i].ReadyAt = time.Minute + 30*time.Second
+						colds++
+					}
+				}
+				for _, g := range f.rigs {
+					g.now = time.Minute + 30*time.Second
+					g.step(ServerList{Scope: Full, Servers: servers})
+				}
+				f.play2(240, 30*time.Second, s.TipAfter*2, prefix)
+				total := 0
+				for i, e := range servers {
+					if !cold(i) {
+						continue
+					}
+					total += f.sent[e.ID]
+					even := 240.0 / 12
+					if f.kind[e.ID] == Writer {
+						even = 240.0 / 24
+					}
+					if limit := s.OverloadFactor * 0.4 * even; float64(f.sent[e.ID]) > limit {
+						t.Errorf("cold server %d got %d sends, %.0f at most", e.ID, f.sent[e.ID], limit)
+					}
+				}
+				if colds > 1 && total == 0 {
+					t.Error("cold servers got no work at all")
+				}
+			})
+		}
+	}
+}
+
+// play2 plays n requests over d, from on.
+func (f *fleet) play2(n int, from, d time.Duration, prefix func() uint64) {
+	for _, g := range f.rigs {
+		g.now = time.Minute + from
+	}
+	for i := range n {
+		at := time.Minute + from + time.Duration(i)*d/time.Duration(n)
+		for _, g := range f.rigs {
+			g.now = max(g.now, at)
+		}
+		f.play(1, 0, prefix)
+	}
+}
+
+// TestTiesLeaveACellOfReaders: three quarters of the readers stand in a cell with a quarter of the writers. With a
+// stream in hand here and there all writers tie, and the cell's writers must not get most of the answers.
+func TestTiesLeaveACellOfReaders(t *testing.T) {
+	servers := pool(8, 8)
+	for i := range servers[:8] {
+		servers[i].Cell = i / 6
+	}
+	for i := range servers[8:] {
+		servers[8+i].Cell = b2i(i >= 2)
+	}
+	f := newFleet(t, testSettings(), 200, servers)
+	f.play(1600, 20*time.Second, func() uint64 { return uint64(f.rnd.Intn(400)) })
+	for _, e := range servers[8:] {
+		if n := f.sent[e.ID]; n < 100 || n > 300 {
+			t.Errorf("writer %d of cell %d got %d of 1600 answers, 200 would be even", e.ID, e.Cell, n)
+		}
+	}
+}
+
+func b2i(v bool) int {
+	if v {
+		return 1
+	}
+	return 0
+}
+
+// TestPopularPrefixIsSpread: half of the traffic begins alike. It is read at a few readers, not at one and not at all.
+func TestPopularPrefixIsSpread(t *testing.T) {
+	for _, fronts := range []int{4, 100} {
+		f := newFleet(t, testSettings(), fronts, pool(30, 10))
+		f.play(fronts*30, 30*time.Second, func() uint64 {
+			if f.rnd.Intn(2) == 0 {
+				return 7
+			}
+			return uint64(100 + f.rnd.Intn(300))
+		})
+		f.sent = map[ServerID]int{}
+		f.play(1000, 0, func() uint64 { return 7 })
+		most, used := 0, 0
+		for id, n := range f.sent {
+			if f.kind[id] == Reader {
+				most, used = max(most, n), used+b2i(n > 20)
+			}
+		}
+		if most > 450 || used > 12 {
+			t.Errorf("%d fronts: the prefix's busiest reader got %d of 1000, %d readers over 20", fronts, most, used)
+		}
+	}
+}
+
+// TestLateAnswersRefuseOnArrival: while first tokens come after their aim a part of new requests is refused at once,
+// and it ends when they come in time again. Refusals carry a wait.
+func TestLateAnswersRefuseOnArrival(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	id := RequestID(0)
+	play := func(n int, took time.Duration) (refused int) {
+		for range n {
+			id++
+			q := g.request(id, 0, 500)
+			q.Session, q.Prefix = 1, 1
+			acts := g.after(300*ms, q)
+			if rs := pick[Refuse](acts); len(rs) > 0 {
+				if rs[0].Wait <= 0 {
+					t.Fatal("refused with no advice")
+				}
+				refused++
+				continue
+			}
+			acts = g.after(20*ms, Outcome{Request: id, Server: 1, Result: ReadDone, Elapsed: 20 * ms})
+			if len(pick[Send](acts)) == 0 {
+				t.Fatalf("read and not sent on: %+v", acts)
+			}
+			g.after(took, First{Request: id, Attempt: 1, Server: 2, Elapsed: took})
+			g.after(ms, Outcome{Request: id, Attempt: 1, Server: 2, Result: Served, Over: true, Elapsed: took})
+		}
+		return refused
+	}
+	if n := play(40, 50*ms); n > 0 {
+		t.Fatalf("%d refused though all are in time", n)
+	}
+	if n := play(40, 1500*ms); n < 8 || n > 38 {
+		t.Fatalf("%d of 40 refused while all are late", n)
+	}
+	play(60, 50*ms)
+	if n := play(20, 50*ms); n > 0 {
+		t.Fatalf("%d still refused after answers came in time again", n)
+	}
+}
+
+func BenchmarkStep(b *testing.B) {
+	s := testSettings()
+	s.Fronts = 300
+	r, err := New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := time.Minute
+	r.Step(now, []Event{ServerList{Scope: Full, Servers: pool(40, 60)}})
+	for i := range b.N {
+		now += 20 * ms
+		id := RequestID(i + 1)
+		r.Step(now, []Event{Request{ID: id, Session: uint64(i), Prefix: uint64(i % 50), PromptLen: 1500, MaxOut: 200,
+			Due: now + 5*time.Second}})
+		r.Step(now, []Event{ClientGone{id}})
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -30,6 +30,11 @@
 	roles        [Mixed + 1]roleFigures
 	cells, zones map[int]flow
 	short        map[int]float64 // writers' part beyond that of readers, for each writer of a cell
+	shed         float64         // part of new requests that is refused
+	feltAt       time.Duration
+	keys         map[uint64]float64 // requests seen, by key
+	keysAll      float64
+	fadeAt       time.Duration
 	askAt        time.Duration
 }
 
@@ -37,9 +42,9 @@
 type roleFigures struct {
 	listed, well float64   // how many are listed, and how many of these are not put aside
 	warm, idle   float64   // how many run for a while, and how many have no own work
+	own          float64   // attempts out there
 	rate         float64   // pieces a second that a warm one finishes for this front, as last seen
-	fails, paces []float64 // of the listed ones, sorted
-	work, pieces float64   // done by those whose pace counts
+	fails        []float64 // of the listed ones, sorted
 	count        float64   // pieces that warm ones finished of late
 	quiet        int       // how many say nothing
 }
@@ -62,16 +67,15 @@
 	slow   float64         // own reads there against the mean pace; fades
 	homed  float64         // requests whose first choice it was of late
 
-	fail       float64 // share of late outcomes that failed
-	done, load float64 // work finished, time with work out; both fade
-	count      float64 // pieces finished; fades
-	seen       time.Duration
-	waits      int           // attempts of which nothing was heard yet
-	heard      time.Duration // when s last said something, or the first of these was sent
-	bad        bool
-	back       time.Duration // next trial
-	pause      time.Duration
-	trials     int
+	fail   float64 // share of late outcomes that failed
+	count  float64 // pieces finished; fades
+	seen   time.Duration
+	waits  int           // attempts of which nothing was heard yet
+	heard  time.Duration // when s last said something, or the first of these was sent
+	bad    bool
+	back   time.Duration // next trial
+	pause  time.Duration
+	trials int
 }
 
 // attempt is one send of a request.
@@ -101,6 +105,7 @@
 	ranOn   *server
 	ranAt   time.Duration
 	started bool // its stream runs
+	shed    bool // refused on arrival
 	over    bool // beyond its tenant's share
 	homed   bool // counted at its home
 	starved bool // promoted: its own tokens no longer count to the bound
@@ -115,14 +120,6 @@
 
 type bucket struct{ level, rate float64 }
 
-// part is the value at that part of a sorted list; of none it is 1.
-func part(sorted []float64, at float64) float64 {
-	if len(sorted) == 0 {
-		return 1
-	}
-	return sorted[int(at*float64(len(sorted)-1)+0.5)]
-}
-
 // oldest finds the request that has waited longest, since before limit at least.
 func oldest(qs []*request, limit time.Duration) int {
 	best := -1
