Health by class, from one failure where news is sparse; slow answers remembered 30 s

First pauses last as long as the gap between own sends; one good answer after the pause brings a server back on trust. A tenant may have two requests at once however many fronts there are: before, every request of a small tenant was beyond its share.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -7,6 +7,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -19,6 +20,7 @@
 	// Holding and release.
 	starveAfter  = 2 * time.Second        // a held request this old may be promoted ...
 	promoteEvery = 4                      // ... but at most every so many releases
+	burstLeast   = 2.0                    // least burst of a tenant within its share
 	readCap      = 6                      // own reads at a reader
 	readBound    = 300 * time.Millisecond // own prompt tokens waiting at a reader, as reading time there
 	evenParts    = 1.3                    // home to more even parts of the requests, a reader passes some on
@@ -37,6 +39,8 @@
 
 	// Health: failures, and work done for the time that work was out, against peers of the role.
 	failGain    = 0.25                    // weight of the newest outcome
+	failsFor    = 30 * time.Second        // how long failures and slow answers count
+	slowGain    = 0.6                     // weight of the newest
 	failBad     = 0.4                     // a server failing this part is put aside
 	memory      = 5 * time.Second         // how long work done counts
 	judgeEvery  = 100 * time.Millisecond  // between looks at all servers; a failure is looked at at once
@@ -44,7 +48,8 @@
 	silentFor   = 6.0                     // ... and so many times the usual is silence
 	backFirst   = 500 * time.Millisecond  // first pause before a trial
 	backMost    = 8 * time.Second         // longest pause
-	trialsFor   = 2                       // good trials before a server is back
+	sparse      = 20 * time.Second        // an outcome after so long without one weighs nearly two thirds
+	slowWriter  = 4.0                     // first tokens so many times the mean: asked after the others
 	onTrust     = 0.3                     // failing share that a server comes back with
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
@@ -52,7 +57,7 @@
 	shedBack = 1.5  // an answer in time lowers it by so much, a late one raises it by its lost worth
 	shedGain = 0.15 // change a second of the part refused
 	shedMost = 0.9
-	overShed = 3.0 // requests beyond their tenant's share are refused so many times as often
+	overShed = 2.0 // requests beyond their tenant's share are refused so many times more often
 	jamFrom  = 0.1 // from this part on what has missed its aim is given up
 
 	// Time-outs and final answers.
@@ -79,7 +84,7 @@
 	r.firstTime = 0.3
 	for _, t := range s.Tenants {
 		rate := t.QuotaPerS / float64(s.Fronts)
-		r.tenants = append(r.tenants, bucket{level: 2 * rate, rate: rate})
+		r.tenants = append(r.tenants, bucket{level: max(2*rate, burstLeast), rate: rate})
 	}
 	return r, nil
 }
@@ -90,7 +95,7 @@
 	r.now, r.out = now, nil
 	for i := range r.tenants {
 		t := &r.tenants[i]
-		t.level = min(t.level+t.rate*dt, 2*t.rate)
+		t.level = min(t.level+t.rate*dt, max(2*t.rate, burstLeast))
 	}
 	for _, ev := range events {
 		r.handle(ev)
@@ -98,7 +103,10 @@
 	if r.now >= r.judgeAt {
 		r.judge()
 	}
-	r.watch()
+	if r.set.AskForList && r.now >= r.askAt {
+		r.emit(Watch{})
+		r.askAt = r.now + max(r.set.AskWithin/2, time.Second)
+	}
 	r.unpark()
 	r.dispatch()
 	r.sleep()
@@ -165,31 +173,21 @@
 	case e.Kind < 0 || e.Kind >= len(r.set.Kinds):
 		return
 	case s == nil:
-		s = &server{Server: e, kept: map[uint64]float64{}, seen: r.now, pace1: r.readPace}
+		s = &server{Server: e, kept: map[uint64]float64{}, seen: r.now, learnt: r.now, pace1: r.readPace}
+		s.fails = make([]float64, len(r.set.Classes))
 		r.byID[e.ID] = s
 		r.servers = append(r.servers, s)
 	}
 	if e.ReadyAt > s.ReadyAt {
 		s.kept = map[uint64]float64{}
-		s.fresh(r.now)
+		s.bad, s.fail, s.count, s.slow, s.pause, s.seen, s.learnt = false, 0, 0, 0, 0, r.now, r.now
+		clear(s.fails)
 	}
 	s.Server, s.role, s.listed = e, r.set.Kinds[e.Kind].Role, e.State == Ready
 }
 
-// watch asks for the list where it must be asked for.
-func (r *Router) watch() {
-	if r.set.AskForList && r.now >= r.askAt {
-		r.emit(Watch{})
-		r.askAt = r.now + max(r.set.AskWithin/2, time.Second)
-	}
-}
-
 // ---- Health: one notion for errors, broken connections, stalls and slowness ----
 
-func (s *server) fresh(now time.Duration) {
-	s.bad, s.fail, s.count, s.slow, s.pause, s.trials, s.seen = false, 0, 0, 0, 0, 0, now
-}
-
 // present is the part of its capacity that s is taken to have: it grows evenly while s is cold.
 func (r *Router) present(s *server) float64 {
 	if !r.cold(s) {
@@ -207,7 +205,10 @@
 	dt := (r.now - s.seen).Seconds()
 	s.seen = r.now
 	s.count *= math.Exp(-dt / memory.Seconds())
-	s.slow *= math.Exp(-dt / 10)
+	s.slow *= math.Exp(-dt / failsFor.Seconds())
+	for i := range s.fails {
+		s.fails[i] *= math.Exp(-dt / failsFor.Seconds())
+	}
 	s.homed *= math.Exp(-dt / homedFor.Seconds())
 }
 
@@ -254,11 +255,8 @@
 			f.warm++
 			f.count += s.count
 		}
-		if s.bad {
-			continue
-		}
-		f.well++
-		f.quiet += int(b2f(r.silent(s)))
+		f.well += b2f(!s.bad)
+		f.quiet += int(b2f(!s.bad && r.silent(s)))
 	}
 	r.flows()
 	for i := range r.roles {
@@ -272,7 +270,7 @@
 
 // flows sets the readers' parts of each cell and zone against the writers'.
 func (r *Router) flows() {
-	r.cells, r.zones, r.short = map[int]flow{}, map[int]flow{}, map[int]float64{}
+	r.cells, r.zones = map[int]flow{}, map[int]flow{}
 	for _, s := range r.servers {
 		if !s.listed || s.bad || s.role == Mixed {
 			continue
@@ -282,13 +280,10 @@
 		if s.role == Reader {
 			c.reads, z.reads = c.reads+part, z.reads+part
 		} else {
-			c.writes, z.writes, c.writers = c.writes+part, z.writes+part, c.writers+1
+			c.writes, z.writes = c.writes+part, z.writes+part
 		}
 		r.cells[s.Cell], r.zones[s.Zone] = c, z
 	}
-	for id, c := range r.cells {
-		r.short[id] = max((c.writes-c.reads)/max(c.writers, 1), 0) + 1e-9
-	}
 }
 
 // silent tells that s has had attempts for much longer than the usual time and has said nothing since.
@@ -301,38 +296,52 @@
 	return s.waits > 0 && r.now-s.heard > silentLeast+time.Duration(silentFor*usual*float64(time.Second))
 }
 
-var roleNames = [...]string{"reader", "writer", "mixed server"}
-
 func (r *Router) aside(s *server, why string) {
 	if !s.bad {
 		r.roles[s.role].well--
 	}
-	s.bad, s.trials = true, 0
-	s.pause = min(max(2*s.pause, backFirst), backMost)
+	s.bad = true
+	gap := time.Duration(0) // between own sends to a server
+	if rate := r.roles[s.role].rate; rate > 0.01 {
+		gap = time.Duration(float64(time.Second) / rate)
+	}
+	s.pause = min(max(2*s.pause, backFirst, gap), backMost)
 	s.back = r.now + s.pause
 	r.emit(Log{fmt.Sprintf("%s %d put aside: %s (failing %.2f)", roleNames[s.role], s.ID, why, s.fail)})
 }
 
-// learn takes one outcome into the health of its server. A failed connection or a broken one speaks louder
-// than an error: the process is likely gone, long before the list says so.
-func (r *Router) learn(s *server, a *attempt, failed bool, gain float64, usual bool) {
-	s.fail += gain * (b2f(failed) - s.fail)
-	if failed {
-		r.judgeAt = r.now
+// learn takes one outcome into the health of its server, for the class of q in full and for others by half: a
+// server may fail one class only. A failed or broken connection speaks for all, and louder: the process is
+// likely gone. News after a long silence weighs more: a front of many sees a server twice a minute.
+func (r *Router) learn(s *server, q *request, failed bool, gain float64, usual bool) {
+	gone := gain > failGain
+	gain = max(gain, 1-math.Exp(-(r.now-s.learnt).Seconds()/sparse.Seconds()))
+	s.learnt = r.now
+	for i := range s.fails {
+		g := gain
+		if i != q.Class && !gone {
+			g /= 2
+		}
+		s.fails[i] += g * (b2f(failed) - s.fails[i])
 	}
+	s.fail = slices.Min(s.fails)
 	switch {
-	case s.bad && failed && r.now >= s.back:
+	case failed && s.bad && r.now >= s.back:
 		r.aside(s, "trial failed")
-	case s.bad && a.trial && !failed && usual:
-		if s.trials++; s.trials >= trialsFor {
-			s.bad, s.pause, s.fail, r.judgeAt = false, s.pause/2, onTrust, r.now // back on trust
-			r.emit(Log{fmt.Sprintf("server %d is back", s.ID)})
-		}
-	case s.bad && a.trial && !failed:
-		r.aside(s, "trial slow")
+	case failed:
+		r.judgeAt = r.now
+	case s.bad && usual:
+		s.bad, s.pause, r.judgeAt = false, s.pause/2, r.now
+		s.fail = min(s.fail, onTrust)
+		r.emit(Log{fmt.Sprintf("%s %d is back", roleNames[s.role], s.ID)})
 	}
 }
 
+// shunned tells that s has failed the class of q, or that its first tokens are slow: it is asked last.
+func (s *server) shunned(q *request) bool {
+	return !s.bad && (s.fails[q.Class] > failBad || s.role == Writer && s.slow > slowWriter)
+}
+
 // ---- Room: one notion for caps, cold budgets, trials and servers that turned work away ----
 
 // room tells whether s takes a further own attempt. A server put aside takes one trial at a time.
@@ -369,15 +378,14 @@
 	if m == 0 {
 		return math.MaxInt64
 	}
-	m *= memoryShare / float64(r.set.Fronts)
-	return m * r.present(s)
+	return m * memoryShare / float64(r.set.Fronts) * r.present(s)
 }
 
 // coldRoom keeps a server that has just started within its budget, with no word between fronts: it may get
 // the part of a warm peer's work that it can do. Where this front's part of that is a request or more in a
 // window it counts them. Below one it sends one at most, for requests whose draw is under a chance that makes
-// the mean right over all fronts (crowd: the even parts of the work that come here as it looks idle). The
-// draw is the request's: what one cold server turns away all do, or a role that restarted would fill up.
+// the mean right over all fronts (crowd: even parts of the work that come here, as it looks idle
+// and others fail). The draw is the request's, or a role that restarted as a whole would fill up too.
 func (r *Router) coldRoom(s *server, q *request) bool {
 	if !r.cold(s) {
 		return true
@@ -388,12 +396,12 @@
 	f := &r.roles[s.role]
 	part := min(1, coldPart*r.set.OverloadFactor) * r.present(s)
 	budget := part * f.rate * r.set.TipAfter.Seconds()
-	crowd := 1.0
+	crowd := float64(1+len(q.att)) - b2f(q.reader != nil)
 	switch {
 	case budget >= 1 || len(s.sends) > 0:
 		return float64(len(s.sends)+1) <= budget
 	case s.role != Reader && s.n == 0:
-		crowd = f.listed / max(f.idle, 1)
+		crowd *= f.listed / max(f.idle, 1)
 	}
 	chance := 1 - math.Exp(-part/crowd)
 	if budget > 0.01 {
@@ -418,11 +426,7 @@
 	r.seeKey(q)
 	r.reqs[ev.ID] = q
 	r.held = append(r.held, q)
-	chance := r.shed
-	if q.over {
-		chance *= overShed
-	}
-	q.shed = draw(r.salt+2, uint64(q.ID)) < chance
+	q.shed = draw(r.salt+2, uint64(q.ID)) < r.shed*(1+overShed*b2f(q.over))
 }
 
 // dispatch releases held requests: shortest prompt first, and every promoteEvery-th time one that starved.
@@ -460,11 +464,10 @@
 	}
 }
 
-// feel takes how long a request took to its first token, against its aim, into the part of new requests
-// that is refused on arrival. Where answers come late by and large, more is asked than can be done in time,
-// whatever the cause: a surge, servers gone, cold or slow. Then a queue only makes all late, so as much is
-// refused as keeps the rest in time. It changes by time passed, so that a front with few requests and one
-// with many act alike. It could hurt where lateness comes from something that less work does not mend.
+// feel moves the part of new requests that is refused on arrival by whether an answer came in its aim. Where
+// they come late by and large, more is asked than can be done in time, whatever the cause: a surge, servers
+// gone, cold or slow. A queue then makes all late, so as much is refused as keeps the rest in time. It moves
+// by time passed, to be alike in a front of few requests and of many. It hurts where less work mends nothing.
 func (r *Router) feel(q *request) {
 	dt := min(r.now-r.feltAt, time.Second).Seconds()
 	r.feltAt = r.now
@@ -530,7 +533,7 @@
 	for _, s := range r.servers {
 		if s.role == role && r.usable(s, q) {
 			h := mix(q.key()^mix(uint64(s.ID))) >> 1
-			if !q.triedOn(s) {
+			if !q.triedOn(s) && !s.shunned(q) {
 				h |= 1 << 63
 			}
 			r.order = append(r.order, ranked{s, h})
@@ -570,11 +573,7 @@
 	return home
 }
 
-// key is what homes a request: the beginning that it shares, else its session.
-func (q *request) key() uint64 { return cmp.Or(q.Prefix, q.Session) }
-
-// popular is the part of this front's requests that share the key of q, of late. Every front sees about the
-// same mix, so all spread a popular key over about the same readers.
+// popular is the part of this front's requests that share the key of q; all fronts see about the same.
 func (r *Router) popular(q *request) float64 {
 	return max(r.keys[q.key()]-1, 0) / (r.keysAll + 5)
 }
@@ -583,11 +582,10 @@
 func (r *Router) seeKey(q *request) {
 	if r.now > r.fadeAt {
 		r.fadeAt, r.keysAll = r.now+keysFade, r.keysAll/2
-		for k, n := range r.keys {
-			if r.keys[k] = n / 2; n < 0.5 {
-				delete(r.keys, k)
-			}
+		for k := range r.keys {
+			r.keys[k] /= 2
 		}
+		maps.DeleteFunc(r.keys, func(_ uint64, n float64) bool { return n < 0.25 })
 	}
 	r.keys[q.key()]++
 	r.keysAll++
@@ -633,9 +631,10 @@
 		if needRoom && !room || !room && !r.coldRoom(s, q) {
 			continue
 		}
-		rank := [6]float64{b2f(!room) + b2f(!room && s.bad), b2f(q.triedOn(s)), float64(s.n),
+		rank := [6]float64{b2f(!room) + b2f(!room && s.bad), b2f(q.triedOn(s)) + b2f(s.shunned(q)),
+			float64(s.n),
 			b2f(!keepCell || s.Cell != q.reader.Cell), b2f(!keepZone || s.Zone != q.reader.Zone),
-			-math.Log(draw(r.salt^uint64(s.ID), uint64(q.ID))) / r.short[s.Cell]}
+			-math.Log(draw(r.salt^uint64(s.ID), uint64(q.ID))) / r.cells[s.Cell].short()}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
 			best, bestRank = s, rank
 		}
@@ -643,10 +642,9 @@
 	return best
 }
 
-// keeps tells whether ties between writers go to the reader's cell, and to its zone. They do, unless the
-// cell has a larger part of the readers than of the writers: then only as many stay as its writers' part,
-// and the rest goes where writers are short of readers. With few fronts the count of own streams would see
-// to it, but where a front has less than a stream at each server nearly all is tied.
+// keeps tells whether ties between writers go to the reader's cell, and to its zone. They do, unless a front
+// has less than a stream a writer, so that nearly all is tied, and the cell has a larger part of the readers
+// than of the writers: then that part stays and the rest goes where writers are short of readers.
 func (r *Router) keeps(q *request) (cell, zone bool) {
 	f := &r.roles[Writer]
 	if q.reader == nil || f.own >= f.listed {
@@ -677,7 +675,7 @@
 
 // send starts an attempt and books what it takes.
 func (r *Router) send(q *request, s *server, write bool) {
-	a := attempt{s: s, out: true, quiet: true, write: write, at: r.now, trial: s.bad}
+	a := attempt{s: s, out: true, quiet: true, write: write, at: r.now}
 	a.charge = q.memoryNeed()
 	if q.reader == nil {
 		a.unread = r.unread(q, s)
@@ -724,13 +722,14 @@
 	q.started, q.reader = true, nil
 	r.feel(q)
 	if a.s.role == Writer {
+		a.s.slow += slowGain * (ev.Elapsed.Seconds()/r.firstTime - a.s.slow)
 		r.firstTime += 0.05 * (ev.Elapsed.Seconds() - r.firstTime)
 	}
 	if a.unread > 0 {
 		r.paced(a, ev.Elapsed)
 	}
 	r.hear(a, true)
-	r.learn(a.s, a, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
+	r.learn(a.s, q, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
 }
 
 // outcome ends an attempt: books out what it took, judges its server, and decides what comes next.
@@ -774,17 +773,15 @@
 	case Served:
 		s.count++
 	case Errored:
-		r.learn(s, a, true, failGain, false)
+		r.learn(s, q, true, failGain, false)
 	case TimedOut:
-		if !a.write {
-			s.slow += 0.3 * (patience - s.slow)
-		}
-		r.learn(s, a, r.now < q.Due || a.at+time.Second < r.now, failGain, false)
+		s.slow += slowGain * (patience - s.slow)
+		r.learn(s, q, r.now < q.Due || a.at+time.Second < r.now, failGain, false)
 		if a.write {
 			r.firstTime += 0.02 * (ev.Elapsed.Seconds() - r.firstTime)
 		}
 	case ConnectFailed, Reset:
-		r.learn(s, a, true, 2*failGain, false)
+		r.learn(s, q, true, 2*failGain, false)
 	case Turned:
 		if !ev.NoState {
 			s.full = r.now + fullPause
@@ -813,7 +810,7 @@
 func (r *Router) paced(a *attempt, took time.Duration) {
 	v := took.Seconds() / max(a.ahead, 200)
 	a.s.pace1 += 0.1 * (v - a.s.pace1)
-	a.s.slow += 0.3 * (v/r.readPace - a.s.slow)
+	a.s.slow += slowGain * (v/r.readPace - a.s.slow)
 	if a.s.role == Reader {
 		r.readPace += 0.05 * (v - r.readPace)
 	}
@@ -830,7 +827,7 @@
 	}
 	s.kept[q.Prefix], s.kept[q.Session] = q.PrefixLen, q.PromptLen
 	delete(s.kept, 0)
-	r.learn(s, a, false, failGain, sec < patience*a.ahead*r.readPace+0.5)
+	r.learn(s, q, false, failGain, sec < patience*a.ahead*r.readPace+0.5)
 }
 
 // place sends a read request to a writer; if none may be sent to, it waits for part of the release time.
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -261,3 +261,75 @@
 		r.Step(now, []Event{ClientGone{id}})
 	}
 }
+
+// TestOneFailureIsEnoughWhereNewsIsSparse: a front that sees a writer twice a minute goes elsewhere after one error.
+func TestOneFailureIsEnoughWhereNewsIsSparse(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2), writer(3))
+	g.after(30 * time.Second)
+	acts := g.step(g.request(1, 0, 500))
+	acts = g.after(20*ms, Outcome{Request: 1, Server: one[Send](t, acts).Server, Result: ReadDone, Elapsed: 20 * ms})
+	bad := one[Send](t, acts).Server
+	g.after(20*ms, Outcome{Request: 1, Attempt: 1, Server: bad, Result: Errored, Elapsed: 20 * ms})
+	g.after(20*ms, Outcome{Request: 1, Attempt: 2, Server: 5 - bad, Result: Served, Over: true, Elapsed: 20 * ms})
+	for id := RequestID(2); id < 8; id++ {
+		acts = g.after(time.Second, g.request(id, 0, 500))
+		acts = g.after(20*ms, Outcome{Request: id, Server: 1, Result: ReadDone, Elapsed: 20 * ms})
+		if s := one[Send](t, acts).Server; s == bad {
+			t.Fatalf("request %d went to the writer that failed", id)
+		}
+		g.after(20*ms, Outcome{Request: id, Attempt: 1, Server: 5 - bad, Result: Served, Over: true, Elapsed: 20 * ms})
+	}
+}
+
+// TestClassFailureKeepsTheServerForOthers: a writer that fails one class is asked last for it and still serves others.
+func TestClassFailureKeepsTheServerForOthers(t *testing.T) {
+	s := testSettings()
+	s.Classes[1].Effect = Safe
+	g := newRig(t, s, reader(1), writer(2), writer(3))
+	used := map[int]int{}
+	for id := RequestID(1); id <= 80; id++ {
+		class := int(id % 2)
+		acts := g.after(200*ms, g.request(id, class, 500))
+		acts = g.after(20*ms, Outcome{Request: id, Server: 1, Result: ReadDone, Elapsed: 20 * ms})
+		for a := 1; ; a++ {
+			to := one[Send](t, acts).Server
+			if to == 2 && id > 20 {
+				used[class]++
+			}
+			if to == 2 && class == 1 {
+				acts = g.after(20*ms, Outcome{Request: id, Attempt: a, Server: to, Result: Errored, Elapsed: 20 * ms})
+				continue
+			}
+			g.after(20*ms, First{Request: id, Attempt: a, Server: to, Elapsed: 20 * ms})
+			g.after(20*ms, Outcome{Request: id, Attempt: a, Server: to, Result: Served, Over: true, Elapsed: 40 * ms})
+			break
+		}
+	}
+	if used[0] < 12 || 3*used[1] > 2*used[0] {
+		t.Fatalf("writer 2 was sent %d of the class it serves and %d of the class it fails, of 30 each", used[0], used[1])
+	}
+}
+
+// TestSmallTenantIsNotShutOut: with 300 fronts a tenant's rate at one front is far below one; its requests are inside
+// its share all the same, until it sends more.
+func TestSmallTenantIsNotShutOut(t *testing.T) {
+	s := testSettings()
+	s.Fronts, s.Tenants = 300, []Tenant{{QuotaPerS: 3}}
+	g := newRig(t, s, reader(1), writer(2))
+	for id := RequestID(1); id <= 4; id++ {
+		g.after(ms, g.request(id, 0, 500))
+		if over := g.r.reqs[id].over; over != (id > 2) {
+			t.Fatalf("request %d: over its share %v", id, over)
+		}
+	}
+}
+
+// TestListWithAStartAhead: a start in the future counts as just started.
+func TestListWithAStartAhead(t *testing.T) {
+	e := writer(2)
+	e.ReadyAt = 2 * time.Hour
+	g := newRig(t, testSettings(), reader(1), e)
+	if p := g.r.present(g.r.byID[2]); p != 0.25 {
+		t.Fatalf("present part %v", p)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -29,8 +30,7 @@
 	judgeAt      time.Duration // servers are judged again
 	roles        [Mixed + 1]roleFigures
 	cells, zones map[int]flow
-	short        map[int]float64 // writers' part beyond that of readers, for each writer of a cell
-	shed         float64         // part of new requests that is refused
+	shed         float64 // part of new requests that is refused
 	feltAt       time.Duration
 	keys         map[uint64]float64 // requests seen, by key
 	keysAll      float64
@@ -50,7 +50,10 @@
 }
 
 // flow is the part of all reads that a cell or zone is taken to make, and of all answers that it can write.
-type flow struct{ reads, writes, writers float64 }
+type flow struct{ reads, writes float64 }
+
+// short is how far the readers' part lacks behind the writers'.
+func (f flow) short() float64 { return max(1-f.reads/max(f.writes, 1e-9), 1e-9) }
 
 // server is what this front knows of one server.
 type server struct {
@@ -67,15 +70,16 @@
 	slow   float64         // own reads there against the mean pace; fades
 	homed  float64         // requests whose first choice it was of late
 
-	fail   float64 // share of late outcomes that failed
-	count  float64 // pieces finished; fades
+	fail   float64       // share of late outcomes that failed, of the class that failed least
+	fails  []float64     // the same, by class; fades
+	learnt time.Duration // last outcome
+	count  float64       // pieces finished; fades
 	seen   time.Duration
 	waits  int           // attempts of which nothing was heard yet
 	heard  time.Duration // when s last said something, or the first of these was sent
 	bad    bool
 	back   time.Duration // next trial
 	pause  time.Duration
-	trials int
 }
 
 // attempt is one send of a request.
@@ -83,7 +87,6 @@
 	s      *server
 	out    bool
 	write  bool // has an effect; else a read
-	trial  bool
 	at     time.Duration
 	charge float64
 	quiet  bool    // nothing heard of it yet
@@ -159,3 +162,8 @@
 	}
 	return 0
 }
+
+// key is what homes a request: the beginning that it shares, else its session.
+func (q *request) key() uint64 { return cmp.Or(q.Prefix, q.Session) }
+
+var roleNames = [...]string{"reader", "writer", "mixed server"}
