--- a/choice/api.go
+++ b/choice/api.go
@@ -47,10 +47,10 @@
 	Name       string        // for logs only
 	Aim        time.Duration // first token wanted within this time
 	AimPer1000 time.Duration // and so much more for each 1,000 prompt tokens
-	TokenAim   time.Duration // wanted time between tokens
-	Deadline   time.Duration // how long a client waits in all
-	Worth      float64       // worth of one request (or of one unit of work)
-	LateWorth  float64       // part of the worth paid after the aim
+	TokenAim   time.Duration // wanted time between tokens; not used yet
+	Deadline   time.Duration // how long a client waits in all; Request.Due is what counts
+	Worth      float64       // worth of one request (or of one unit of work); not used yet
+	LateWorth  float64       // part of the worth paid after the aim: the larger, the less is refused on arrival
 	Effect     Effect
 	Group      Group         // for Keyed
 	Window     time.Duration // for Keyed: how long repeats are dropped
@@ -65,7 +65,7 @@
 // Tenant is one customer and its share.
 type Tenant struct {
 	QuotaPerS float64 // requests a second over all fronts inside its share; 0 = no limit
-	Share     float64
+	Share     float64 // not used: QuotaPerS decides
 }
 
 // Settings is all that a Router is told at its start. A zero figure means the documented default.
@@ -75,24 +75,24 @@
 	Classes        []Class
 	Kinds          []Kind
 	Tenants        []Tenant // may be empty
-	OverShareWorth float64  // worth of a request beyond its tenant's share
+	OverShareWorth float64  // worth of a request beyond its tenant's share; not used yet
 	MaxAttempts    int      // for one request; 0 = 2
 	CanCancel      bool
-	SecondCopies   bool          // two attempts of a request may be out at once
+	SecondCopies   bool          // two attempts of a request may be out at once; this module never does it
 	MaxWait        time.Duration // the longest advised wait that clients follow; 0 = 1 s
-	Ahead          bool          // places may be held ahead at writers
+	Ahead          bool          // places may be held ahead at writers; not used, the pick is late
 	WritersRead    bool          // a writer reads by itself when there is no state
-	Resume         bool          // broken streams come again
+	Resume         bool          // broken streams come again; not used, they are requests like any other
 	ReleaseWithin  time.Duration // held state must be taken or let go within; 0 = 300 ms
-	AnswerSlack    time.Duration // past Due in which a final answer still counts
-	DrainGrace     time.Duration // sends to a draining server must stop within
+	AnswerSlack    time.Duration // past Due in which a final answer still counts; not used, answers come by Due
+	DrainGrace     time.Duration // sends to a draining server must stop within; not used, they stop at once
 	ColdFrom       float64       // part of its capacity at which a server starts; 0 = 0.25
 	ColdFor        time.Duration // warm after this; 0 = never cold
 	OverloadFactor float64       // sent more than so many times its present capacity ...
 	TipAfter       time.Duration // ... for so long, a cold server falls over
 	AskForList     bool          // the list must be asked for (Watch)
 	AskWithin      time.Duration // ask again at least this often where it must be asked for
-	ReportFields   []string      // names of the figures in load reports
+	ReportFields   []string      // names of the figures in load reports; reports are not used
 }
 
 // Validate reports the first field the module can't serve.
@@ -156,7 +156,7 @@
 	Cell    int
 	State   State
 	ReadyAt time.Duration // last start of its process; 0 = long ago
-	Weight  float64
+	Weight  float64       // size against others; not used yet
 }
 
 // Event is something that happened to this front; Step takes any of the types below.
@@ -190,8 +190,8 @@
 		PrefixLen float64
 		MaxOut    float64
 		Due       time.Duration
-		Repeat    bool // a client's further try, where clients mark it
-		Resumed   bool // came again after its stream broke
+		Repeat    bool // a client's further try, where clients mark it; not used
+		Resumed   bool // came again after its stream broke; not used
 	}
 	// First tells that a stream has begun; its request has no deadline any more.
 	First struct {
@@ -208,9 +208,9 @@
 		Elapsed time.Duration
 		Over    bool // the request is over, no answer is owed
 		Result  Result
-		NoState bool    // with Turned: there was no read state to fetch
-		Kept    float64 // with ReadDone and Served: prompt tokens found kept
-		Report  []float64
+		NoState bool      // with Turned: there was no read state to fetch
+		Kept    float64   // with ReadDone and Served: prompt tokens found kept
+		Report  []float64 // not used
 	}
 	// ClientGone tells that the client left; no answer is owed.
 	ClientGone struct{ Request RequestID }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,8 @@
 	spillMost    = 2                      // servers of the hash order that may read a prefix
 	memoryShare  = 0.95                   // part of its share of a writer's memory that a front fills
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
-	coldPart     = 0.5                    // of its budget, the part that a cold server is sent
+	coldPart     = 0.5                    // of its budget, the part that a cold server is sent ...
+	coldMost     = 0.7                    // ... but at most this of its even part of what it can do
 	mixedWeight  = 0.6                    // what a mixed server takes, whole requests, against a writer
 	keptMax      = 20000                  // remembered prefixes and sessions a server
 
@@ -394,7 +395,7 @@
 		s.sends = s.sends[1:]
 	}
 	f := &r.roles[s.role]
-	part := min(1, coldPart*r.set.OverloadFactor) * r.present(s)
+	part := min(coldMost, coldPart*r.set.OverloadFactor) * r.present(s)
 	budget := part * f.rate * r.set.TipAfter.Seconds()
 	crowd := float64(1+len(q.att)) - b2f(q.reader != nil)
 	switch {
@@ -433,9 +434,6 @@
 // A bounded promotion keeps a backlog that starved all at once from putting its long prompts before the
 // short ones. While requests are held those beyond their tenant's share come last.
 func (r *Router) dispatch() {
-	if len(r.held) == 0 {
-		return
-	}
 	slices.SortFunc(r.held, func(a, b *request) int {
 		return cmp.Or(cmp.Compare(b2f(a.over), b2f(b.over)), cmp.Compare(a.PromptLen, b.PromptLen),
 			cmp.Compare(a.ID, b.ID))
@@ -468,11 +466,11 @@
 // they come late by and large, more is asked than can be done in time, whatever the cause: a surge, servers
 // gone, cold or slow. A queue then makes all late, so as much is refused as keeps the rest in time. It moves
 // by time passed, to be alike in a front of few requests and of many. It hurts where less work mends nothing.
-func (r *Router) feel(q *request) {
+func (r *Router) feel(q *request, late bool) {
 	dt := min(r.now-r.feltAt, time.Second).Seconds()
 	r.feltAt = r.now
 	step := -shedBack
-	if r.now > q.aimAt() {
+	if late {
 		step = 1 - q.class.LateWorth
 	}
 	r.shed = min(max(r.shed+shedGain*dt*step, 0), shedMost)
@@ -720,7 +718,7 @@
 	}
 	a := &q.att[ev.Attempt]
 	q.started, q.reader = true, nil
-	r.feel(q)
+	r.feel(q, r.now > q.aimAt())
 	if a.s.role == Writer {
 		a.s.slow += slowGain * (ev.Elapsed.Seconds()/r.firstTime - a.s.slow)
 		r.firstTime += 0.05 * (ev.Elapsed.Seconds() - r.firstTime)
@@ -889,8 +887,8 @@
 // held.
 func (r *Router) finish(q *request, answer Action) {
 	q.ended = true
-	if !q.started && !q.shed {
-		r.feel(q)
+	if !q.started && !q.shed { // given up counts as late, however soon: else a storm of refusals looks well
+		r.feel(q, answer != nil || r.now > q.aimAt())
 	}
 	if answer != nil {
 		r.emit(answer)
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -333,3 +333,30 @@
 		t.Fatalf("present part %v", p)
 	}
 }
+
+// TestRefusalsInAStormCountAsLate: readers that turn everything away at once are too much work too; requests that end
+// with no answer long before their aim must raise the part refused on arrival, not lower it.
+func TestRefusalsInAStormCountAsLate(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), reader(3), writer(2))
+	sent := 0
+	for id := RequestID(1); id <= 60; id++ {
+		acts := g.after(200*ms, g.request(id, 0, 500))
+		for a := 0; ; a++ {
+			sends := pick[Send](acts)
+			if len(sends) == 0 {
+				g.step(ClientGone{id})
+				break
+			}
+			if id > 40 {
+				sent++
+			}
+			acts = g.after(ms, Outcome{Request: id, Attempt: a, Server: sends[0].Server, Result: Turned, Elapsed: ms})
+			if a < 3 && len(pick[Refuse](acts)) == 0 {
+				acts = append(acts, g.after(160*ms)...)
+			}
+		}
+	}
+	if g.r.shed < 0.3 || sent > 60 {
+		t.Fatalf("part refused on arrival %.2f, %d attempts of the last 20 requests", g.r.shed, sent)
+	}
+}
