Settings in XML with a schema and a checker that names line and mend

Operators edit settings under pressure. internal/config fills structs by reflection, collects every problem with file, line, column, what and mend, and makes the XSD from the same structs (a test holds the committed one against them). 24 broken variants of the example are each named; FuzzParse keeps checked settings acceptable to the module.

--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,483 @@
+// Package config reads the front's settings: XML, checked against what the program takes, with every problem
+// named by file, line, column and mend. It holds no value that the decision module should decide: what is left
+// out becomes the module's documented default, or the bound written at the field here.
+package config
+
+import (
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"reflect"
+	"slices"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/api"
+	"brackenbend/internal/http1"
+)
+
+// Settings are one front's settings.
+type Settings struct {
+	Pos
+	Front    *Front    `cfg:"front,required"`
+	Limits   *Limits   `cfg:"limits"`
+	Log      *Log      `cfg:"log"`
+	Service  *Service  `cfg:"service,required"`
+	Classes  []Class   `cfg:"class,required"`
+	Tenants  []Tenant  `cfg:"tenant"`
+	Kinds    []Kind    `cfg:"kind,required"`
+	Models   []Model   `cfg:"model,required"`
+	Rules    []Rule    `cfg:"rule"`
+	Sessions []Key     `cfg:"session"`
+	Prefixes []Key     `cfg:"prefix"`
+	Engines  *Engines  `cfg:"engines"`
+	Servers  []Server  `cfg:"server"`
+	Register *Register `cfg:"register"`
+}
+
+// Front says where this front listens and how it ends.
+type Front struct {
+	Pos
+	Name   string        `cfg:"name"`
+	Listen string        `cfg:"listen,required"` // host:port for clients
+	Admin  string        `cfg:"admin"`           // host:port for health and metrics; none = no such listener
+	Seed   int           `cfg:"seed"`            // of the module's draws; 0 = drawn at start
+	Drain  time.Duration `cfg:"drain"`           // answers in flight may take so long after SIGTERM; 0 = 30 s
+	Margin time.Duration `cfg:"answer-margin"`   // final answers are decided so long before the client's time is up; 0 = 100 ms
+}
+
+// Limits bound what clients may take. Zero means the value in fillDefaults.
+type Limits struct {
+	Pos
+	Open        int           `cfg:"open-requests"`
+	Connections int           `cfg:"connections"`
+	Head        Size          `cfg:"head"`
+	Fields      int           `cfg:"header-fields"`
+	Body        Size          `cfg:"body"`
+	Whole       Size          `cfg:"whole-answer"`  // events of an answer that is not streamed
+	Event       Size          `cfg:"event"`         // one event of a stream
+	HeadTime    time.Duration `cfg:"head-time"`     // from a request's first byte to its head's end
+	BodyTime    time.Duration `cfg:"body-time"`     // for the whole body
+	IdleTime    time.Duration `cfg:"idle-time"`     // between requests of a connection
+	StallTime   time.Duration `cfg:"stall-time"`    // a client that takes nothing for so long has gone
+	StreamIdle  time.Duration `cfg:"stream-idle"`   // an engine that sends nothing for so long within a stream has failed
+	BodyMemory  Size          `cfg:"bodies-memory"` // all request bodies held at once
+}
+
+// Log says what is logged and how.
+type Log struct {
+	Pos
+	Format string `cfg:"format,enum=json|console"`
+	Level  string `cfg:"level,enum=debug|info|warn|error"`
+	Storm  int    `cfg:"lines-per-second"` // of one kind of line; more are counted, not written; 0 = 100
+}
+
+// Service holds what the decision module is told of the service as a whole.
+type Service struct {
+	Pos
+	Fronts        int           `cfg:"fronts,required"`
+	MaxAttempts   int           `cfg:"max-attempts"`
+	MaxWait       time.Duration `cfg:"max-wait"`
+	Release       time.Duration `cfg:"release-within"`
+	DrainGrace    time.Duration `cfg:"drain-grace"`
+	ColdFrom      float64       `cfg:"cold-from"`
+	ColdFor       time.Duration `cfg:"cold-for"`
+	Overload      float64       `cfg:"overload-factor"`
+	TipAfter      time.Duration `cfg:"tip-after"`
+	WritersRead   bool          `cfg:"writers-read"`
+	CancelStops   bool          `cfg:"cancel"` // engines stop the work of a connection that closes
+	OverShare     float64       `cfg:"over-share-worth"`
+	DefaultClass  string        `cfg:"default-class"`
+	DefaultTenant string        `cfg:"default-tenant"`
+}
+
+// Class is a class of requests.
+type Class struct {
+	Pos
+	Name       string        `cfg:"name,required"`
+	Effect     string        `cfg:"effect,required,enum=safe|keyed|unsafe"`
+	Aim        time.Duration `cfg:"aim,required"`
+	AimPer1000 time.Duration `cfg:"aim-per-1000-tokens"`
+	TokenAim   time.Duration `cfg:"token-aim"`
+	Deadline   time.Duration `cfg:"deadline,required"`
+	Worth      float64       `cfg:"worth"`
+	LateWorth  float64       `cfg:"late-worth"`
+	Group      string        `cfg:"group,enum=all|zone|cell"`
+	Window     time.Duration `cfg:"window"`
+}
+
+// Tenant is a customer with its share.
+type Tenant struct {
+	Pos
+	Name  string  `cfg:"name,required"`
+	Quota Rate    `cfg:"quota"`
+	Share float64 `cfg:"share"`
+}
+
+// Kind is a kind of engine.
+type Kind struct {
+	Pos
+	Name   string `cfg:"name,required"`
+	Role   string `cfg:"role,required,enum=reader|writer|mixed"`
+	Memory Tokens `cfg:"memory"`
+}
+
+// Model is a model served.
+type Model struct {
+	Pos
+	Name          string  `cfg:"name,required"`
+	BytesPerToken float64 `cfg:"bytes-per-token,required"`
+	MaxOutput     Tokens  `cfg:"max-output,required"`
+}
+
+// Rule gives a class or a tenant to the requests that match it; the first that matches counts.
+type Rule struct {
+	Pos
+	When   string `cfg:"when,required,enum=path|model|header|api-key-sha256|user"`
+	Name   string `cfg:"name"` // of the header
+	Equals string `cfg:"equals"`
+	Begins string `cfg:"begins"`
+	Class  string `cfg:"class"`
+	Tenant string `cfg:"tenant"`
+}
+
+// Key says where a session or a shared beginning is told; the first that gives something counts.
+type Key struct {
+	Pos
+	From  string `cfg:"from,required,enum=header|user|system-messages|first-message|opening"`
+	Name  string `cfg:"name"`
+	Bytes Size   `cfg:"bytes"`
+}
+
+// Engines says how engines are spoken to.
+type Engines struct {
+	Pos
+	Dialect     string        `cfg:"dialect,enum=vllm|extended"`
+	DialTime    time.Duration `cfg:"dial-time"`
+	Connections int           `cfg:"connections"`      // at once, an engine
+	Idle        int           `cfg:"idle-connections"` // kept, an engine
+	IdleTime    time.Duration `cfg:"idle-time"`
+}
+
+// Server is an engine of the static list.
+type Server struct {
+	Pos
+	Name    string `cfg:"name,required"`
+	Kind    string `cfg:"kind,required"`
+	Address string `cfg:"address,required"`
+	Zone    string `cfg:"zone"`
+	Cell    string `cfg:"cell"`
+}
+
+// Register is where the list of engines is watched.
+type Register struct {
+	Pos
+	URL       string `cfg:"url,required"` // of the API server, without a path
+	Namespace string `cfg:"namespace,required"`
+	Selector  string `cfg:"label-selector"`
+	Kinds     string `cfg:"kind-label"` // label of a slice that names its engines' kind; none = brackenbend.dev/kind
+	Cells     string `cfg:"cell-label"` // and their cell; none = brackenbend.dev/cell
+	TokenFile string `cfg:"token-file"` // bearer token, read anew for every call
+	CAFile    string `cfg:"ca-file"`    // for https
+	Cache     string `cfg:"cache"`      // file that keeps the last list
+}
+
+// Load reads and checks a file.
+func Load(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse reads settings; file is for messages. The error is Problems.
+func Parse(file string, text []byte) (*Settings, error) {
+	d := &decoder{file: file}
+	s := &Settings{}
+	if root := d.parse(text); root != nil {
+		if root.name != "brackenbend" {
+			d.problem(root.Pos, "begin with <brackenbend>", "the root element is <%s>", root.name)
+		} else {
+			decode(d, root, s)
+		}
+	}
+	if len(d.problems) > 0 {
+		slices.SortStableFunc(d.problems, func(a, b Problem) int {
+			if a.Line != b.Line {
+				return a.Line - b.Line
+			}
+			return a.Column - b.Column
+		})
+		return nil, d.problems
+	}
+	s.fillDefaults()
+	return s, nil
+}
+
+func (s *Settings) fillDefaults() {
+	setDefault(&s.Limits, &Limits{})
+	setDefault(&s.Log, &Log{})
+	setDefault(&s.Engines, &Engines{})
+	l, e := s.Limits, s.Engines
+	setDefault(&s.Front.Drain, 30*time.Second)
+	setDefault(&s.Front.Margin, 100*time.Millisecond)
+	setDefault(&s.Front.Name, s.Front.Listen)
+	setDefault(&l.Open, 20000)
+	setDefault(&l.Connections, 20000)
+	setDefault(&l.Head, 32<<10)
+	setDefault(&l.Fields, 100)
+	setDefault(&l.Body, 4<<20)
+	setDefault(&l.BodyMemory, 256<<20)
+	setDefault(&l.Whole, 4<<20)
+	setDefault(&l.Event, 256<<10)
+	setDefault(&l.HeadTime, 10*time.Second)
+	setDefault(&l.BodyTime, 30*time.Second)
+	setDefault(&l.IdleTime, 60*time.Second)
+	setDefault(&l.StallTime, 10*time.Second)
+	setDefault(&l.StreamIdle, 30*time.Second)
+	setDefault(&s.Log.Format, "json")
+	setDefault(&s.Log.Level, "info")
+	setDefault(&s.Log.Storm, 100)
+	setDefault(&e.Dialect, "vllm")
+	setDefault(&e.DialTime, time.Second)
+	setDefault(&e.Connections, 1024)
+	setDefault(&e.Idle, 32)
+	setDefault(&e.IdleTime, 15*time.Second)
+	if s.Register != nil {
+		setDefault(&s.Register.Kinds, "brackenbend.dev/kind")
+		setDefault(&s.Register.Cells, "brackenbend.dev/cell")
+	}
+	for i := range s.Classes {
+		setDefault(&s.Classes[i].Worth, 1)
+	}
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+var (
+	effects = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
+	groups  = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone, "cell": choice.GroupCell}
+	roles   = map[string]choice.Role{"reader": choice.Reader, "writer": choice.Writer, "mixed": choice.Mixed}
+	sources = map[string]api.Source{"path": api.FromPath, "model": api.FromModel, "header": api.FromHeader,
+		"api-key-sha256": api.FromAPIKey, "user": api.FromUser, "system-messages": api.FromLeading,
+		"first-message": api.FromFirst, "opening": api.FromOpening}
+)
+
+// Choice is what the decision module is told.
+func (s *Settings) Choice() choice.Settings {
+	v := s.Service
+	c := choice.Settings{Fronts: v.Fronts, MaxAttempts: v.MaxAttempts, MaxWait: v.MaxWait, ReleaseWithin: v.Release,
+		DrainGrace: v.DrainGrace, ColdFrom: v.ColdFrom, ColdFor: v.ColdFor, OverloadFactor: v.Overload, TipAfter: v.TipAfter,
+		WritersRead: v.WritersRead, CanCancel: v.CancelStops, OverShareWorth: v.OverShare}
+	for _, k := range s.Classes {
+		c.Classes = append(c.Classes, choice.Class{Name: k.Name, Aim: k.Aim, AimPer1000: k.AimPer1000, TokenAim: k.TokenAim,
+			Deadline: k.Deadline, Worth: k.Worth, LateWorth: k.LateWorth, Effect: effects[k.Effect], Group: groups[k.Group], Window: k.Window})
+	}
+	for _, t := range s.Tenants {
+		c.Tenants = append(c.Tenants, choice.Tenant{QuotaPerS: float64(t.Quota), Share: t.Share})
+	}
+	for _, k := range s.Kinds {
+		c.Kinds = append(c.Kinds, choice.Kind{Role: roles[k.Role], Memory: float64(k.Memory)})
+	}
+	return c
+}
+
+// Classifier is how traits are read off requests.
+func (s *Settings) Classifier() *api.Classifier {
+	c := &api.Classifier{DefaultClass: s.classIndex(s.Service.DefaultClass), DefaultTenant: s.tenantIndex(s.Service.DefaultTenant)}
+	if len(s.Classes) == 1 {
+		c.DefaultClass = 0
+	}
+	if len(s.Tenants) < 2 {
+		c.DefaultTenant = 0
+	}
+	for _, k := range s.Classes {
+		c.ClassNames = append(c.ClassNames, k.Name)
+	}
+	for _, t := range s.Tenants {
+		c.TenantNames = append(c.TenantNames, t.Name)
+	}
+	if len(s.Tenants) == 0 {
+		c.TenantNames = []string{"all"}
+	}
+	for _, r := range s.Rules {
+		m := api.Match{From: sources[r.When], Name: r.Name, Equals: r.Equals, Prefix: r.Begins}
+		if r.Class != "" {
+			c.Classes = append(c.Classes, api.Rule{Match: m, Index: s.classIndex(r.Class)})
+		}
+		if r.Tenant != "" {
+			c.Tenants = append(c.Tenants, api.Rule{Match: m, Index: s.tenantIndex(r.Tenant)})
+		}
+	}
+	keys := func(ks []Key) (out []api.Key) {
+		for _, k := range ks {
+			out = append(out, api.Key{From: sources[k.From], Name: k.Name, Bytes: int(k.Bytes)})
+		}
+		return out
+	}
+	c.Sessions, c.Prefixes = keys(s.Sessions), keys(s.Prefixes)
+	for _, m := range s.Models {
+		c.Models = append(c.Models, api.Model{Name: m.Name, BytesPerToken: m.BytesPerToken, MaxOutput: int(m.MaxOutput)})
+	}
+	return c
+}
+
+// HTTP are the limits of the protocol parsers.
+func (s *Settings) HTTP() http1.Limits {
+	return http1.Limits{Head: int(s.Limits.Head), Fields: s.Limits.Fields}
+}
+
+func (s *Settings) classIndex(name string) int {
+	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
+}
+
+func (s *Settings) tenantIndex(name string) int {
+	return slices.IndexFunc(s.Tenants, func(t Tenant) bool { return t.Name == name })
+}
+
+// KindIndex finds a kind by its name, -1 where there is none.
+func (s *Settings) KindIndex(name string) int {
+	return slices.IndexFunc(s.Kinds, func(k Kind) bool { return k.Name == name })
+}
+
+// check finds contradictions that no single attribute shows.
+func (s *Settings) check(d *decoder) {
+	unique(d, "class", s.Classes, func(c Class) (Pos, string) { return c.Pos, c.Name })
+	unique(d, "tenant", s.Tenants, func(t Tenant) (Pos, string) { return t.Pos, t.Name })
+	unique(d, "kind", s.Kinds, func(k Kind) (Pos, string) { return k.Pos, k.Name })
+	unique(d, "model", s.Models, func(m Model) (Pos, string) { return m.Pos, m.Name })
+	unique(d, "server", s.Servers, func(v Server) (Pos, string) { return v.Pos, v.Name })
+	s.checkService(d)
+	for _, c := range s.Classes {
+		if c.Deadline > 0 && c.Aim > c.Deadline {
+			d.problem(c.Pos, "make aim smaller or deadline larger", "<class name=%q>: aim %v is past deadline %v", c.Name, c.Aim, c.Deadline)
+		}
+		if c.Deadline == 0 {
+			d.problem(c.Pos, "give the time a client waits, such as 5s", "<class name=%q>: a deadline of 0", c.Name)
+		}
+		if (c.Effect == "keyed") != (c.Window > 0) {
+			d.problem(c.Pos, "give window with effect=\"keyed\", and only there", "<class name=%q>: effect %s with a window of %v", c.Name, c.Effect, c.Window)
+		}
+		if c.Group != "" && c.Effect != "keyed" {
+			d.problem(c.Pos, "remove group, or set effect=\"keyed\"", "<class name=%q>: group without effect keyed", c.Name)
+		}
+		if c.LateWorth > 1 {
+			d.problem(c.Pos, "write a part from 0 to 1", "<class name=%q>: late-worth %v", c.Name, c.LateWorth)
+		}
+	}
+	for _, m := range s.Models {
+		if m.BytesPerToken == 0 || m.MaxOutput == 0 {
+			d.problem(m.Pos, "give figures above 0", "<model name=%q>: bytes-per-token or max-output is 0", m.Name)
+		}
+	}
+	for _, r := range s.Rules {
+		s.checkRule(d, r)
+	}
+	for _, k := range slices.Concat(s.Sessions, s.Prefixes) {
+		if (k.From == "header") != (k.Name != "") {
+			d.problem(k.Pos, "give name with from=\"header\", and only there", "from=%q with name=%q", k.From, k.Name)
+		}
+		if (k.From == "opening") != (k.Bytes > 0) {
+			d.problem(k.Pos, "give bytes with from=\"opening\", and only there", "from=%q with bytes=%d", k.From, k.Bytes)
+		}
+	}
+	s.checkServers(d)
+}
+
+func (s *Settings) checkService(d *decoder) {
+	if f := s.Front; f != nil {
+		address(d, f.Pos, "listen", f.Listen)
+		if f.Admin != "" {
+			address(d, f.Pos, "admin", f.Admin)
+			if f.Admin == f.Listen {
+				d.problem(f.Pos, "give admin a port of its own", "<front>: admin and listen are the same address")
+			}
+		}
+	}
+	v := s.Service
+	if v == nil {
+		return
+	}
+	if v.Fronts == 0 {
+		d.problem(v.Pos, "write how many fronts serve together", "<service>: fronts is 0")
+	}
+	if v.ColdFrom > 1 {
+		d.problem(v.Pos, "write a part from 0 to 1", "<service>: cold-from %v", v.ColdFrom)
+	}
+	if v.Overload > 0 && v.TipAfter == 0 {
+		d.problem(v.Pos, "add tip-after=\"2s\"", "<service>: overload-factor without tip-after")
+	}
+	if v.DefaultClass != "" && s.classIndex(v.DefaultClass) < 0 {
+		d.problem(v.Pos, "name a <class>", "<service>: default-class %q is no class", v.DefaultClass)
+	}
+	if v.DefaultTenant != "" && s.tenantIndex(v.DefaultTenant) < 0 {
+		d.problem(v.Pos, "name a <tenant>", "<service>: default-tenant %q is no tenant", v.DefaultTenant)
+	}
+}
+
+func (s *Settings) checkRule(d *decoder, r Rule) {
+	if (r.Equals == "") == (r.Begins == "") {
+		d.problem(r.Pos, "give one of equals and begins", "<rule> has both or neither of equals and begins")
+	}
+	if (r.Class == "") == (r.Tenant == "") {
+		d.problem(r.Pos, "give one of class and tenant", "<rule> has both or neither of class and tenant")
+	}
+	if (r.When == "header") != (r.Name != "") {
+		d.problem(r.Pos, "give name with when=\"header\", and only there", "<rule when=%q> with name=%q", r.When, r.Name)
+	}
+	if r.Class != "" && s.classIndex(r.Class) < 0 {
+		d.problem(r.Pos, "name a <class>", "<rule>: %q is no class", r.Class)
+	}
+	if r.Tenant != "" && s.tenantIndex(r.Tenant) < 0 {
+		d.problem(r.Pos, "name a <tenant>", "<rule>: %q is no tenant", r.Tenant)
+	}
+}
+
+func (s *Settings) checkServers(d *decoder) {
+	if s.Register == nil && len(s.Servers) == 0 {
+		d.problem(s.Pos, "add <server .../> lines or a <register .../>", "no engine can be known")
+	}
+	if s.Register != nil && len(s.Servers) > 0 {
+		d.problem(s.Register.Pos, "keep one of them", "both a <register> and a static list of <server>")
+	}
+	for _, v := range s.Servers {
+		address(d, v.Pos, "address", v.Address)
+		if s.KindIndex(v.Kind) < 0 {
+			d.problem(v.Pos, "name a <kind>", "<server name=%q>: %q is no kind", v.Name, v.Kind)
+		}
+	}
+	if s.Register != nil {
+		if u, err := url.Parse(s.Register.URL); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
+			d.problem(s.Register.Pos, "write it like http://127.0.0.1:7000", "<register> url=%q is no http or https URL", clip(s.Register.URL))
+		}
+	}
+}
+
+func address(d *decoder, p Pos, name, v string) {
+	if _, port, err := net.SplitHostPort(v); v != "" && (err != nil || port == "") {
+		d.problem(p, "write it like 127.0.0.1:8080", "%s=%q is no host and port", name, clip(v))
+	}
+}
+
+func unique[T any](d *decoder, what string, list []T, of func(T) (Pos, string)) {
+	seen := map[string]int{}
+	for _, e := range list {
+		p, name := of(e)
+		if line, ok := seen[name]; ok && name != "" {
+			d.problem(p, fmt.Sprintf("rename one; the other is on line %d", line), "<%s name=%q> stands twice", what, name)
+		}
+		seen[name] = p.Line
+	}
+}
+
+func decode(d *decoder, root *node, s *Settings) {
+	d.fill(root, reflect.ValueOf(s).Elem())
+	s.check(d)
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"bytes"
+	"flag"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+var update = flag.Bool("update", false, "write the schema anew")
+
+const (
+	schemaFile  = "../../deploy/brackenbend.xsd"
+	exampleFile = "../../deploy/examples/front.xml"
+)
+
+func TestExampleIsTaken(t *testing.T) {
+	s, err := Load(exampleFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.Choice()
+	if len(c.Classes) != 3 || c.Classes[2].Window != 30*time.Second || c.Kinds[1].Memory != 180000 || c.Tenants[0].QuotaPerS != 100 || c.Fronts != 4 {
+		t.Errorf("%+v", c)
+	}
+	if err := c.Validate(); err != nil {
+		t.Error(err)
+	}
+	k := s.Classifier()
+	if k.DefaultClass != 0 || k.Classes[1].Index != 2 || k.Tenants[0].Index != 1 || len(k.Sessions) != 2 || k.Prefixes[1].Bytes != 2048 {
+		t.Errorf("%+v", k)
+	}
+}
+
+func TestCommittedSchemaIsTheCheckers(t *testing.T) {
+	if *update {
+		if err := os.WriteFile(schemaFile, Schema(), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	have, err := os.ReadFile(schemaFile)
+	if err != nil || !bytes.Equal(have, Schema()) {
+		t.Fatalf("%s is not what the settings' structs say (%v); run: go test ./internal/config -update", schemaFile, err)
+	}
+}
+
+// Each case changes the example in one place; the problem must name the line of that place, what is wrong and
+// the mend.
+func TestProblemsNameLineAndMend(t *testing.T) {
+	text, err := os.ReadFile(exampleFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ old, new, what, mend string }{
+		{`drain="20s"`, `drain="20"`, "a time needs its unit", "20ms or 20s"},
+		{`drain="20s"`, `drian="20s"`, `no attribute "drian"`, "use one of: admin, answer-margin"},
+		{`head="32KiB"`, `head="32"`, "a size needs its unit", "32KiB"},
+		{`quota="100/s"`, `quota="100"`, "a rate needs its unit", "100/s"},
+		{`memory="250000tokens"`, `memory="250000"`, "number of tokens needs its unit", "250000tokens"},
+		{`fronts="4"`, `fronts="four"`, "not a whole number", "such as 4"},
+		{`effect="unsafe"`, `effect="once"`, "unknown value", "safe, keyed, unsafe"},
+		{`aim="1s"`, `aim="6s"`, "aim 6s is past deadline 5s", "make aim smaller"},
+		{` window="30s"`, ``, "effect keyed with a window of 0s", "give window"},
+		{`<tenant name="depot"`, `<tenant name="public"`, "stands twice", "the other is on line"},
+		{`class="order"/>`, `class="orders"/>`, `"orders" is no class`, "name a <class>"},
+		{`<rule when="header" name="X-Class" equals="order"`, `<rule when="header" equals="order"`, "with name=", "give name"},
+		{`<kind name="prefill" role="reader"`, `<kind name="prefill"`, `lacks the attribute "role"`, `role="reader"`},
+		{`listen="127.0.0.1:8080"`, `listen="8080"`, "no host and port", "127.0.0.1:8080"},
+		{`url="http://127.0.0.1:7000"`, `url="127.0.0.1:7000"`, "no http or https URL", "http://"},
+		{`<engines `, `<engine dialect="vllm"/><engines `, "<engine> may not stand", "use one of: class, engines"},
+		{`<log format="json"`, `stray <log format="json"`, "text", "remove it"},
+		{`<log format="json"`, `<log level="info" format="json"`, "", ""},
+		{`overload-factor="4" tip-after="2s"`, `overload-factor="4"`, "without tip-after", "tip-after="},
+		{`cold-from="0.25"`, `cold-from="1.5"`, "cold-from 1.5", "0 to 1"},
+		{`bytes="2KiB"`, ``, `from="opening" with bytes=0`, "give bytes"},
+		{`<register `, `<register url="http://x:1" namespace="n"/><register `, "stands twice", "keep one"},
+		{`bytes-per-token="4"`, `bytes-per-token="-4"`, "not a number of at least 0", "0.25"},
+		{`</brackenbend>`, ``, "syntax error", "correct the XML"},
+	} {
+		if !strings.Contains(string(text), c.old) {
+			t.Fatalf("the example lacks %s", c.old)
+		}
+		bad := strings.Replace(string(text), c.old, c.new, 1)
+		line := strings.Count(string(text)[:strings.Index(string(text), c.old)], "\n") + 1
+		_, err := Parse("f.xml", []byte(bad))
+		ps, _ := err.(Problems)
+		found := false
+		for _, p := range ps {
+			onLine := p.Line == line || c.old == "</brackenbend>"
+			for l := line; l > line-3 && !onLine; l-- { // an attribute is placed by its element's first line
+				onLine = p.Line == l && strings.Contains(strings.Split(bad, "\n")[l-1], "<")
+			}
+			found = found || strings.Contains(p.What, c.what) && strings.Contains(p.Mend, c.mend) && onLine
+		}
+		if c.what == "" {
+			c.what, found = "twice", err != nil // the XML parser's own complaint will do
+		}
+		if !found {
+			t.Errorf("%s -> %s: %v", c.old, c.new, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	text, err := os.ReadFile(exampleFile)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s, err := Parse("f", b)
+		if err != nil {
+			return
+		}
+		if err := s.Choice().Validate(); err != nil {
+			t.Fatalf("checked settings that the module refuses: %v", err)
+		}
+		s.Classifier()
+	})
+}
