--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,338 @@
+package engine
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/http1"
+)
+
+func testClient() *Client {
+	return &Client{Extended: true, DialTime: time.Second, Connections: 4, Idle: 4, IdleTime: time.Minute,
+		StreamIdle: 20 * time.Second, Event: 16 << 10, Reply: 1 << 16, Limits: http1.Limits{Head: 4096, Fields: 30}, Report: []string{"kv", "none"}}
+}
+
+// peer accepts connections one after another and hands each, with its number, to serve.
+func peer(t *testing.T, serve func(i int, c *net.TCPConn)) *Server {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() { l.Close(); <-done })
+	go func() {
+		defer close(done)
+		for i := 0; ; i++ {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { serve(i, c.(*net.TCPConn)); c.Close() }()
+		}
+	}()
+	return &Server{ID: 1, Name: "e", Address: l.Addr().String()}
+}
+
+// request takes one whole request off c.
+func request(c net.Conn, br *bufio.Reader) bool {
+	lim := http1.Limits{Head: 4096, Fields: 30}
+	r, err := http1.ReadRequest(br, lim)
+	if err != nil {
+		return false
+	}
+	var b http1.Body
+	b.Reset(br, &r.Message, lim)
+	_, err = http1.ReadAll(&b, 1<<20)
+	return err == nil
+}
+
+func reset(c *net.TCPConn) { _ = c.SetLinger(0) }
+
+type sink struct {
+	got    strings.Builder
+	begun  int
+	refuse bool
+	fail   error
+}
+
+func (s *sink) Begin() bool { s.begun++; return !s.refuse }
+func (s *sink) Events(p []byte) error {
+	s.got.Write(p)
+	return s.fail
+}
+
+const head200 = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\nendpoint-load-metrics: TEXT kv=0.5, q=NaN\r\n\r\n"
+
+func chunked(s string) string { return string(http1.AppendChunk(nil, []byte(s))) }
+
+// TestOutcomeTable causes every way in which an attempt can end on the network.
+func TestOutcomeTable(t *testing.T) {
+	ok := head200 + chunked("data: {}\n\n") + chunked("data: [DONE]\n\n") + http1.LastChunk
+	for name, c := range map[string]struct {
+		serve func(c *net.TCPConn, br *bufio.Reader)
+		want  choice.Result
+		begun int
+	}{
+		"served": {func(c *net.TCPConn, br *bufio.Reader) { request(c, br); io.WriteString(c, ok) }, choice.Served, 1},
+		"events cut anywhere": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			for i := range ok {
+				io.WriteString(c, ok[i:i+1])
+			}
+		}, choice.Served, 1},
+		"closed after accept":  {func(c *net.TCPConn, br *bufio.Reader) {}, choice.Reset, 0},
+		"reset after request":  {func(c *net.TCPConn, br *bufio.Reader) { request(c, br); reset(c) }, choice.Reset, 0},
+		"closed after request": {func(c *net.TCPConn, br *bufio.Reader) { request(c, br) }, choice.Reset, 0},
+		"closed within head":   {func(c *net.TCPConn, br *bufio.Reader) { request(c, br); io.WriteString(c, ok[:30]) }, choice.Reset, 0},
+		"closed within stream": {func(c *net.TCPConn, br *bufio.Reader) { request(c, br); io.WriteString(c, ok[:len(head200)+20]) }, choice.Reset, 1},
+		"ended without [DONE]": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, head200+chunked("data: {}\n\n")+http1.LastChunk)
+		}, choice.Reset, 1},
+		"garbage": {func(c *net.TCPConn, br *bufio.Reader) { request(c, br); io.WriteString(c, "SSH-2.0-x\r\n\r\n") }, choice.Errored, 0},
+		"head too large": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nX: "+strings.Repeat("x", 9000)+"\r\n\r\n")
+		}, choice.Errored, 0},
+		"broken chunk": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, head200+chunked("data: {}\n\n")+"zz\r\n")
+		}, choice.Errored, 1},
+		"event too large": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, head200+chunked("data: "+strings.Repeat("x", 20000)))
+		}, choice.Errored, 0},
+		"error event": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, head200+chunked("data: {\"error\":{}}\n\n"))
+		}, choice.Errored, 0},
+		"error event in stream": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, head200+chunked("data: {}\n\ndata: {\"error\":{}}\n\n"))
+		}, choice.Errored, 1},
+		"500": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, "HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n")
+		}, choice.Errored, 0},
+		"503, may have run": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n")
+		}, choice.Errored, 0},
+		"503, never ran": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, "HTTP/1.1 503 x\r\nContent-Length: 0\r\nX-Brackenbend-Never-Ran: 1\r\n\r\n")
+		}, choice.Turned, 0},
+		"no answer in time": {func(c *net.TCPConn, br *bufio.Reader) { request(c, br); io.Copy(io.Discard, c) }, choice.TimedOut, 0},
+		"early 413": {func(c *net.TCPConn, br *bufio.Reader) {
+			io.WriteString(c, "HTTP/1.1 413 x\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}")
+			request(c, br)
+		}, choice.Served, 0},
+		"100 forever": {func(c *net.TCPConn, br *bufio.Reader) {
+			request(c, br)
+			io.WriteString(c, strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9))
+		}, choice.Errored, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := peer(t, func(_ int, k *net.TCPConn) { c.serve(k, bufio.NewReader(k)) })
+			limit := 10 * time.Second
+			if c.want == choice.TimedOut {
+				limit = 100 * time.Millisecond
+			}
+			var to sink
+			out := testClient().Write(&Attempt{}, s, Call{Path: "/v1/chat/completions", ID: "a", Body: []byte("{}"), Deadline: time.Now().Add(limit)}, &to)
+			if out.Result != c.want || to.begun != c.begun {
+				t.Errorf("result %d (%v), want %d; begun %d, want %d", out.Result, out.Err, c.want, to.begun, c.begun)
+			}
+			if c.want == choice.Served && c.begun == 1 && (to.got.String() != "data: {}\n\ndata: [DONE]\n\n" || len(out.Report) != 2 || out.Report[0] != 0.5 || out.Report[1] == out.Report[1]) {
+				t.Errorf("relayed %q, report %v", to.got.String(), out.Report)
+			}
+		})
+	}
+}
+
+func TestRefusedConnectNeverRan(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	out := testClient().Read(&Attempt{}, &Server{Address: l.Addr().String()}, Call{Path: "/v1/x", ID: "a", Deadline: time.Now().Add(5 * time.Second)})
+	if out.Result != choice.ConnectFailed {
+		t.Errorf("%+v", out)
+	}
+}
+
+func TestNothingIsSentOnceShutOrCalledOff(t *testing.T) {
+	got := make(chan bool, 4)
+	s := peer(t, func(_ int, c *net.TCPConn) { got <- request(c, bufio.NewReader(c)) })
+	c := testClient()
+	a := &Attempt{}
+	a.Cancel()
+	if out := c.Read(a, s, Call{Path: "/v1/x", ID: "a"}); out.Result != choice.NotSent {
+		t.Errorf("called off: %+v", out)
+	}
+	s.Shut()
+	if out := c.Read(&Attempt{}, s, Call{Path: "/v1/x", ID: "a"}); out.Result != choice.NotSent {
+		t.Errorf("shut: %+v", out)
+	}
+	// a drain that is told while the connection is being made
+	s.Open()
+	k, err := c.take(t.Context(), s, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.give(s, k, true)
+	if !(&Attempt{}).hold(k.Conn) {
+		t.Fatal("a fresh attempt can't hold its connection")
+	}
+	s.Shut()
+	if s.Connections() != 0 {
+		t.Errorf("%d connections stay to a server that drains", s.Connections())
+	}
+	select {
+	case sent := <-got:
+		if sent {
+			t.Error("a request reached the server")
+		}
+	case <-time.After(time.Second):
+	}
+}
+
+func TestCancelWhileWaiting(t *testing.T) {
+	reached := make(chan struct{})
+	gone := make(chan struct{})
+	s := peer(t, func(_ int, c *net.TCPConn) {
+		request(c, bufio.NewReader(c))
+		close(reached)
+		io.Copy(io.Discard, c)
+		close(gone)
+	})
+	a := &Attempt{}
+	go func() { <-reached; a.Cancel() }()
+	if out := testClient().Read(a, s, Call{Path: "/v1/x", ID: "a"}); out.Result != choice.Cancelled {
+		t.Errorf("%+v", out)
+	}
+	<-gone // the engine sees that nobody waits
+}
+
+// TestOnceNeverRidesOnAPooledConnection: the peer kills the idle connection just as it would be used again.
+func TestOnceNeverRidesOnAPooledConnection(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `{"kv_transfer_params":{"a":1}}`
+	conns := make(chan int, 10)
+	s := peer(t, func(i int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for request(c, br) {
+			conns <- i
+			io.WriteString(c, answer)
+		}
+	})
+	c := testClient()
+	call := Call{Path: "/v1/x", ID: "a", Deadline: time.Now().Add(10 * time.Second)}
+	for i, once := range []bool{false, false, true} {
+		call.Once = once
+		if out := c.Read(&Attempt{}, s, call); out.Result != choice.ReadDone {
+			t.Fatalf("%+v", out)
+		}
+		if used := <-conns; used != []int{0, 0, 1}[i] {
+			t.Errorf("call %d rode on connection %d", i, used)
+		}
+	}
+}
+
+func TestDeadIdleConnectionIsSeen(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `{"kv_transfer_params":{"a":1}}`
+	closed := make(chan struct{}, 1)
+	s := peer(t, func(i int, c *net.TCPConn) {
+		request(c, bufio.NewReader(c))
+		io.WriteString(c, answer)
+		c.Close() // without having said so
+		closed <- struct{}{}
+	})
+	c := testClient()
+	for range 3 {
+		if out := c.Read(&Attempt{}, s, Call{Path: "/v1/x", ID: "a", Deadline: time.Now().Add(10 * time.Second)}); out.Result != choice.ReadDone {
+			t.Fatalf("%+v", out)
+		}
+		<-closed
+		for s.Connections() == 1 { // until the close has come through
+			s.mu.Lock()
+			if len(s.idle) == 1 && !quiet(s.idle[0].Conn) {
+				s.mu.Unlock()
+				break
+			}
+			s.mu.Unlock()
+		}
+	}
+}
+
+func TestConnectionsAreCapped(t *testing.T) {
+	s := peer(t, func(_ int, c *net.TCPConn) { request(c, bufio.NewReader(c)); io.Copy(io.Discard, c) })
+	c := testClient()
+	c.Connections = 1
+	a := &Attempt{}
+	done := make(chan Outcome)
+	go func() { done <- c.Read(a, s, Call{Path: "/v1/x", ID: "a"}) }()
+	for s.Connections() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if out := c.Read(&Attempt{}, s, Call{Path: "/v1/x", ID: "b"}); out.Result != choice.NotSent || !errors.Is(out.Err, errTooMany) {
+		t.Errorf("%+v", out)
+	}
+	a.Cancel()
+	<-done
+	if s.Connections() != 0 {
+		t.Errorf("%d connections left", s.Connections())
+	}
+}
+
+func TestRelayAllocatesNothingAToken(t *testing.T) {
+	c := testClient()
+	token := chunked("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word\"}}]}\n\n")
+	run := func(tokens int) float64 {
+		all := head200 + strings.Repeat(token, tokens) + chunked("data: [DONE]\n\n") + http1.LastChunk
+		return testing.AllocsPerRun(20, func() {
+			k := &conn{Conn: nopConn{}, br: bufio.NewReader(strings.NewReader(all))}
+			resp, err := http1.ReadResponse(k.br, c.Limits)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var body http1.Body
+			body.Reset(k.br, &resp.Message, c.Limits)
+			if out := c.relay(&Attempt{}, k, &body, &nullSink{}); out.Result != choice.Served {
+				t.Fatalf("%+v", out)
+			}
+		})
+	}
+	if few, many := run(10), run(2010); many-few > 10 {
+		t.Errorf("2,000 tokens more allocate %v times more", many-few)
+	}
+}
+
+type nopConn struct{ net.Conn }
+
+func (nopConn) SetReadDeadline(time.Time) error { return nil }
+
+type nullSink struct{}
+
+func (nullSink) Begin() bool         { return true }
+func (nullSink) Events([]byte) error { return nil }
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("TEXT a=0.1, named_metrics.b=2")
+	f.Add(`JSON {"cpu_utilization":0.3,"named_metrics":{"a":1}}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		for name, v := range ParseLoad(s) {
+			if v-v != 0 {
+				t.Fatalf("%s is not finite", name)
+			}
+		}
+	})
+}
