--- a/internal/api/classify.go
+++ b/internal/api/classify.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -174,3 +175,34 @@
 	}
 	return "'" + strings.ToValidUTF8(s, "?") + "'"
 }
+
+// ModelList is the answer to GET /v1/models, or for one model by its name.
+func (c *Classifier) ModelList(name string) ([]byte, *Error) {
+	type object struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		Created int64  `json:"created"`
+		OwnedBy string `json:"owned_by"`
+	}
+	var list []object
+	for _, m := range c.Models {
+		o := object{m.Name, "model", 0, "brackenbend"}
+		if name == m.Name {
+			return marshal(o), nil
+		}
+		list = append(list, o)
+	}
+	if name != "" {
+		return nil, &Error{Status: 404, Type: "invalid_request_error", Param: "model", Code: "model_not_found",
+			Message: "the model " + quote(name) + " is not served here"}
+	}
+	return marshal(map[string]any{"object": "list", "data": list}), nil
+}
+
+func marshal(v any) []byte {
+	b, err := json.Marshal(v)
+	if err != nil { // only plain values come here
+		panic(err)
+	}
+	return b
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -481,3 +481,51 @@
 	d.fill(root, reflect.ValueOf(s).Elem())
 	s.check(d)
 }
+
+// SameButRoutes tells whether two settings differ only in what a running front can take: models, rules,
+// sessions and prefixes. The error names the first element that differs elsewhere.
+func SameButRoutes(a, b *Settings) error {
+	x, y := reflect.ValueOf(*a), reflect.ValueOf(*b)
+	for i := range x.NumField() {
+		tag, ok := parseTag(x.Type().Field(i))
+		if !ok || slices.Contains([]string{"model", "rule", "session", "prefix"}, tag.name) {
+			continue
+		}
+		if !sameBut(x.Field(i), y.Field(i)) {
+			return fmt.Errorf("<%s> differs; it takes effect only at a restart", tag.name)
+		}
+	}
+	return nil
+}
+
+// sameBut compares values but for places in the file.
+func sameBut(a, b reflect.Value) bool {
+	switch a.Kind() {
+	case reflect.Pointer:
+		if a.IsNil() || b.IsNil() {
+			return a.IsNil() == b.IsNil()
+		}
+		return sameBut(a.Elem(), b.Elem())
+	case reflect.Slice:
+		if a.Len() != b.Len() {
+			return false
+		}
+		for i := range a.Len() {
+			if !sameBut(a.Index(i), b.Index(i)) {
+				return false
+			}
+		}
+		return true
+	case reflect.Struct:
+		if a.Type() == reflect.TypeFor[Pos]() {
+			return true
+		}
+		for i := range a.NumField() {
+			if !sameBut(a.Field(i), b.Field(i)) {
+				return false
+			}
+		}
+		return true
+	}
+	return a.Equal(b)
+}
--- /dev/null
+++ b/internal/front/client.go
@@ -0,0 +1,412 @@
+package front
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brackenbend/choice"
+	"brackenbend/internal/api"
+	"brackenbend/internal/engine"
+	"brackenbend/internal/http1"
+)
+
+// client is one client's connection. Its goroutine reads requests and writes all answers that are not streams;
+// while a request is open it waits in a read, which ends when the client hangs up, or when kick moves the read
+// deadline into the past.
+type client struct {
+	f    *Front
+	nc   net.Conn
+	br   *bufio.Reader
+	idle atomic.Bool // between requests
+	fl   atomic.Pointer[flight]
+}
+
+var past = time.Unix(1, 0)
+
+func newClient(f *Front, nc net.Conn) *client {
+	return &client{f: f, nc: nc, br: bufio.NewReaderSize(nc, 4096)}
+}
+
+// kick ends the goroutine's wait in a read. Callers close the flight's done right after.
+func (c *client) kick() { _ = c.nc.SetReadDeadline(past) }
+
+// streams lets the wait go on for as long as the stream does; a whole answer has until last.
+func (c *client) streams(last time.Time) { _ = c.nc.SetReadDeadline(last) }
+
+func (c *client) kickIfIdle() {
+	if c.idle.Load() {
+		c.kick()
+	}
+}
+
+// cutShort fails what the connection waits for: the front ends.
+func (c *client) cutShort() {
+	if fl := c.fl.Load(); fl != nil {
+		if fl.finish(failure(fl)) {
+			return
+		}
+		if fl.state.Load() != streaming {
+			return
+		}
+	}
+	c.nc.Close()
+}
+
+// write writes within the time that a client may take nothing.
+func (c *client) write(b []byte) error {
+	if err := c.nc.SetWriteDeadline(time.Now().Add(c.f.set.Limits.StallTime)); err != nil {
+		return err
+	}
+	_, err := c.nc.Write(b)
+	return err
+}
+
+func (c *client) serve() {
+	defer c.nc.Close()
+	for {
+		req, err := c.next()
+		if err != nil {
+			c.complain(err)
+			return
+		}
+		if !c.handle(req) {
+			return
+		}
+	}
+}
+
+// next waits for a request and reads its head.
+func (c *client) next() (*http1.Request, error) {
+	l := c.f.set.Limits
+	if err := c.nc.SetReadDeadline(time.Now().Add(l.IdleTime)); err != nil {
+		return nil, err
+	}
+	c.idle.Store(true)
+	if c.f.draining.Load() && c.br.Buffered() == 0 { // Shutdown may have looked before idle was set
+		return nil, io.EOF
+	}
+	_, err := c.br.Peek(1)
+	c.idle.Store(false)
+	if err != nil {
+		return nil, io.EOF
+	}
+	if err := c.nc.SetReadDeadline(time.Now().Add(l.HeadTime)); err != nil {
+		return nil, err
+	}
+	return http1.ReadRequest(c.br, c.f.limits)
+}
+
+// complain answers what can't be read as a request, and lets the answer arrive before the connection ends.
+func (c *client) complain(err error) {
+	var e *http1.Error
+	switch {
+	case errors.As(err, &e):
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		e = &http1.Error{Status: 408, Reason: "the request did not come in time"}
+	default: // the client left
+		return
+	}
+	c.f.m.Turned.WithLabelValues("malformed").Inc()
+	a := &api.Error{Status: e.Status, Type: "invalid_request_error", Code: "malformed", Message: e.Reason}
+	if c.send(answer{status: e.Status, body: a.JSON()}, false) == nil {
+		c.linger()
+	}
+}
+
+// linger takes what is still on its way for a moment: closing at once would reset the connection and the
+// answer might be lost.
+func (c *client) linger() {
+	if t, ok := c.nc.(*net.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+	_ = c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	_, _ = io.CopyN(io.Discard, c.nc, 1<<20)
+}
+
+// send writes an answer that is not a stream.
+func (c *client) send(a answer, keep bool) error {
+	b := make([]byte, 0, 256+len(a.body))
+	b = http1.AppendStatus(b, a.status)
+	b = http1.AppendField(b, "Content-Type", "application/json")
+	b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(a.body)))
+	if a.wait > 0 {
+		b = http1.AppendField(b, "Retry-After", strconv.Itoa(int(math.Ceil(a.wait.Seconds()))))
+		b = http1.AppendField(b, "retry-after-ms", strconv.FormatInt(a.wait.Milliseconds(), 10))
+	}
+	if a.noRetry {
+		b = http1.AppendField(b, "x-should-retry", "false")
+	}
+	if !keep {
+		b = http1.AppendField(b, "Connection", "close")
+	}
+	b = append(b, "\r\n"...)
+	return c.write(append(b, a.body...))
+}
+
+// handle answers one request and tells whether the connection stays.
+func (c *client) handle(req *http1.Request) bool {
+	var body http1.Body
+	body.Reset(c.br, &req.Message, c.f.limits)
+	path := req.Path()
+	switch {
+	case path == api.PathChat || path == api.PathCompletions:
+		if req.Method != "POST" {
+			return c.reject(req, &body, &api.Error{Status: 405, Type: "invalid_request_error", Message: "use POST"})
+		}
+		return c.completion(req, &body)
+	case path == api.PathModels || strings.HasPrefix(path, api.PathModels+"/"):
+		if req.Method != "GET" {
+			return c.reject(req, &body, &api.Error{Status: 405, Type: "invalid_request_error", Message: "use GET"})
+		}
+		text, e := c.f.routes.Load().ModelList(strings.TrimPrefix(strings.TrimPrefix(path, api.PathModels), "/"))
+		if e != nil {
+			return c.reject(req, &body, e)
+		}
+		return c.simple(req, &body, answer{status: 200, body: text})
+	}
+	return c.reject(req, &body, &api.Error{Status: 404, Type: "invalid_request_error", Code: "not_found", Message: "nothing is served at this path"})
+}
+
+func (c *client) reject(req *http1.Request, body *http1.Body, e *api.Error) bool {
+	return c.simple(req, body, answer{status: e.Status, body: e.JSON()})
+}
+
+// simple answers without a flight. A body that was not read ends the connection.
+func (c *client) simple(req *http1.Request, body *http1.Body, a answer) bool {
+	keep := !req.Close && body.Done() && !c.f.draining.Load()
+	if c.send(a, keep) != nil {
+		return false
+	}
+	if !keep {
+		c.linger()
+	}
+	return keep
+}
+
+// turn refuses a request before it is taken.
+func (c *client) turn(req *http1.Request, body *http1.Body, reason, message string) bool {
+	c.f.m.Turned.WithLabelValues(reason).Inc()
+	e := &api.Error{Status: 503, Type: "server_error", Code: "overloaded", Message: message}
+	return c.simple(req, body, answer{status: 503, body: e.JSON(), wait: time.Second})
+}
+
+func (c *client) completion(req *http1.Request, body *http1.Body) bool {
+	f := c.f
+	if f.draining.Load() {
+		return c.turn(req, body, "draining", "this front is going down; nothing was done")
+	}
+	if f.open.Add(1) > int64(f.set.Limits.Open) {
+		f.open.Add(-1)
+		return c.turn(req, body, "open requests", "too many requests are open at this front; nothing was done")
+	}
+	f.m.Open.Inc()
+	defer func() { f.open.Add(-1); f.m.Open.Dec() }()
+	size := req.Length
+	if size < 0 {
+		size = int64(f.set.Limits.Body)
+	}
+	fits := size <= int64(f.set.Limits.Body)
+	if fits && f.bodies.Add(size) > int64(f.set.Limits.BodyMemory) {
+		f.bodies.Add(-size)
+		return c.turn(req, body, "body memory", "too many bytes of requests are held at this front; nothing was done")
+	}
+	if !fits {
+		size = 0 // refused below
+	}
+	booked := size
+	defer func() { f.bodies.Add(-booked) }()
+	if req.Expect && fits {
+		if c.write([]byte("HTTP/1.1 100 Continue\r\n\r\n")) != nil {
+			return false
+		}
+	}
+	if c.nc.SetReadDeadline(time.Now().Add(f.set.Limits.BodyTime)) != nil {
+		return false
+	}
+	text, err := http1.ReadAll(body, int64(f.set.Limits.Body))
+	if err != nil {
+		c.complain(err)
+		return false
+	}
+	fl, e := c.flight(req, text)
+	if e != nil {
+		f.m.Turned.WithLabelValues("invalid").Inc()
+		return c.reject(req, body, e)
+	}
+	fl.bytes.Store(int64(len(text)))
+	f.bodies.Add(int64(len(text)) - booked)
+	booked = 0
+	defer fl.freeBody()
+	return c.fly(fl)
+}
+
+// flight reads a request's traits and makes its flight.
+func (c *client) flight(req *http1.Request, body []byte) (*flight, *api.Error) {
+	f := c.f
+	r, e := api.Parse(req.Path(), body)
+	if e != nil {
+		return nil, e
+	}
+	t, e := f.routes.Load().Classify(r, req.Header)
+	if e != nil {
+		return nil, e
+	}
+	class := &f.classes[t.Class]
+	if class.Effect == choice.Keyed && t.IdempotencyKey == "" {
+		return nil, &api.Error{Status: 400, Type: "invalid_request_error", Code: "idempotency_key_missing",
+			Message: "requests of the class " + class.Name + " need an Idempotency-Key header"}
+	}
+	if class.Effect != choice.Keyed {
+		t.IdempotencyKey = ""
+	}
+	n := f.ids.Add(1)
+	if n > math.MaxUint32 {
+		f.draining.Store(true)
+		f.log.Error("all 2^32 request ids of this run are used; restart the front")
+		return nil, &api.Error{Status: 503, Type: "server_error", Message: "this front must be restarted; nothing was done"}
+	}
+	now := time.Now()
+	fl := &flight{id: choice.RequestID(n), req: r, traits: t, class: class, to: c, chunks: req.Minor == 1, taken: now,
+		keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{})}
+	told := api.ClientTime(req.Header)
+	wait := class.Deadline
+	if told > 0 && told < wait {
+		wait = told
+	}
+	fl.due = now.Add(max(wait-f.set.Front.Margin, wait/2))
+	if !r.Stream {
+		fl.whole = api.NewWhole(r.Chat, int(f.set.Limits.Whole))
+		if told > 0 {
+			fl.last = now.Add(max(told-f.set.Front.Margin, told/2))
+		}
+	}
+	return fl, nil
+}
+
+// fly hands a flight to the loop and sees it to its end.
+func (c *client) fly(fl *flight) bool {
+	f, t := c.f, &fl.traits
+	backstop := fl.due.Add(f.set.Front.Margin / 2)
+	if c.nc.SetReadDeadline(backstop) != nil {
+		return false
+	}
+	c.fl.Store(fl)
+	defer c.fl.Store(nil)
+	due := f.loop.now() + time.Until(fl.due)
+	f.loop.post(item{fl: fl, ev: choice.Request{ID: fl.id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix,
+		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due}})
+	left := c.await(fl, backstop)
+	if left {
+		fl.result = "gone"
+	}
+	fl.report(f)
+	if left {
+		return false
+	}
+	if fl.answer.status == 0 { // it was a stream
+		return fl.keep && fl.result != "gone" && !f.draining.Load()
+	}
+	keep := fl.keep && !f.draining.Load()
+	return c.send(fl.answer, keep) == nil && keep
+}
+
+// await returns when the answer is set or the stream has ended; true: the client left before.
+func (c *client) await(fl *flight, backstop time.Time) (left bool) {
+	for {
+		_, err := c.br.Peek(1)
+		switch {
+		case err == nil: // the next request is here already: no hang-up can be seen from now on
+			return c.awaitDone(fl, backstop)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			select {
+			case <-fl.done:
+				return false
+			default:
+			}
+			if again := c.expired(fl, backstop); again {
+				continue
+			}
+			<-fl.done
+			return false
+		}
+		return c.hangUp(fl)
+	}
+}
+
+func (c *client) awaitDone(fl *flight, backstop time.Time) bool {
+	for {
+		at := backstop
+		if fl.state.Load() == streaming {
+			if at = fl.last; at.IsZero() {
+				<-fl.done
+				return false
+			}
+		}
+		timer := time.NewTimer(max(time.Until(at), time.Millisecond))
+		select {
+		case <-fl.done:
+			timer.Stop()
+			return false
+		case <-timer.C:
+			c.expired(fl, backstop)
+		}
+	}
+}
+
+// expired looks at a wait whose time is up. It tells whether the wait for a hang-up may go on.
+func (c *client) expired(fl *flight, backstop time.Time) bool {
+	now := time.Now()
+	switch {
+	case fl.state.Load() == streaming && !fl.last.IsZero() && !now.Before(fl.last):
+		if fl.settle(streaming, failure(fl)) { // a whole answer that is not whole in the client's time
+			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
+			c.callOff(fl)
+		}
+	case fl.state.Load() == open && !now.Before(backstop):
+		if fl.finish(failure(fl)) {
+			c.f.m.Backstops.Inc()
+			c.f.log.Error("no decision came in the client's time", zap.String("id", c.f.wideID(fl.id, 0)))
+			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
+		}
+	}
+	return false
+}
+
+// hangUp ends a flight whose client has left.
+func (c *client) hangUp(fl *flight) bool {
+	if fl.state.CompareAndSwap(open, gone) {
+		c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
+		return true
+	}
+	if fl.state.CompareAndSwap(streaming, gone) {
+		c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
+		c.callOff(fl)
+		if fl.whole == nil {
+			<-fl.done // the attempt writes to this connection until it ends
+		}
+		return true
+	}
+	<-fl.done
+	return fl.answer.status != 0 || fl.result == "gone"
+}
+
+// callOff ends the attempt that streams.
+func (c *client) callOff(fl *flight) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, a := range fl.trail {
+		a.handle.Cancel()
+	}
+}
+
+var _ engine.Sink = (*attempt)(nil)
--- /dev/null
+++ b/internal/front/flight.go
@@ -0,0 +1,331 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brackenbend/choice"
+	"brackenbend/internal/api"
+	"brackenbend/internal/engine"
+	"brackenbend/internal/http1"
+	"brackenbend/internal/sse"
+)
+
+// The states of a flight's answer. Whoever moves it from open owns the answer; so there is one.
+const (
+	open      int32 = iota
+	streaming       // an attempt has the client's stream
+	answered        // the final answer is set, or the stream has ended
+	gone            // the client left
+)
+
+// flight is one request from the moment it is taken until its last attempt has ended.
+type flight struct {
+	id     choice.RequestID
+	req    *api.Request
+	traits api.Traits
+	class  *choice.Class
+	to     *client
+	whole  *api.Whole // collects the answer for a client that does not stream
+	chunks bool       // the client takes chunked answers
+	keep   bool       // the connection stays after the answer
+	taken  time.Time
+	due    time.Time // first token, or final answer, by the module's reckoning
+	last   time.Time // the client's time for a whole answer; zero = not told
+
+	state  atomic.Int32
+	done   chan struct{} // closed once the answer is set or the stream has ended
+	answer answer        // set before done is closed, by the owner of the answer
+	result string        // for the log, as answer
+	first  atomic.Int64  // nanoseconds from taken to the first token
+
+	mu    sync.Mutex
+	trail []*attempt   // as attempts, for the log
+	bytes atomic.Int64 // of its body, as booked with the front
+
+	// owned by the loop
+	attempts []*attempt
+	out      int
+	kv       json.RawMessage
+}
+
+// answer is what a client gets that is not a stream.
+type answer struct {
+	status  int
+	body    []byte
+	wait    time.Duration // with a refusal
+	noRetry bool
+}
+
+func refusal(wait time.Duration) answer {
+	e := &api.Error{Status: 429, Type: "rate_limit_error", Code: "busy", Message: "not now; trying again after the told wait is harmless"}
+	return answer{status: 429, body: e.JSON(), wait: wait}
+}
+
+// failure promises nothing about effects: where one may have happened, SDKs are told not to retry by themselves.
+func failure(fl *flight) answer {
+	e := &api.Error{Status: 502, Type: "server_error", Code: "failed", Message: "the request failed; it may have run"}
+	if fl.class.Effect == choice.Safe {
+		e.Message = "the request failed; it is safe to try again"
+	}
+	if !time.Now().Before(fl.due) {
+		e.Status, e.Code = 504, "timeout"
+	}
+	return answer{status: e.Status, body: e.JSON(), noRetry: fl.class.Effect != choice.Safe}
+}
+
+// freeBody gives the body's bytes back to the front's bound.
+func (fl *flight) freeBody() { fl.to.f.bodies.Add(-fl.bytes.Swap(0)) }
+
+func (fl *flight) over() bool { return fl.state.Load() >= answered }
+
+func (fl *flight) note(a *attempt) {
+	fl.mu.Lock()
+	fl.trail = append(fl.trail, a)
+	fl.mu.Unlock()
+}
+
+// finish sets the final answer if there is none yet.
+func (fl *flight) finish(a answer) bool { return fl.settle(open, a) }
+
+func (fl *flight) settle(from int32, a answer) bool {
+	if !fl.state.CompareAndSwap(from, answered) {
+		return false
+	}
+	fl.answer = a
+	switch {
+	case a.status == 429:
+		fl.result = "refused"
+	case a.status >= 500:
+		fl.result = "failed"
+	default:
+		fl.result = "served"
+	}
+	fl.to.kick()
+	close(fl.done)
+	return true
+}
+
+// attempt is one send.
+type attempt struct {
+	fl       *flight
+	n        int
+	srv      *engine.Server
+	write    bool
+	id       string
+	kv       json.RawMessage
+	limit    time.Time
+	handle   engine.Attempt
+	began    time.Time
+	ended    chan struct{}
+	unsent   bool // set before ended is closed
+	released bool // by the loop
+	owns     bool // the client's answer; set by Begin
+	post     func(item)
+	out      []byte // the frame being written
+	broken   error  // the client can't be written to
+
+	resultMu sync.Mutex
+	result   string
+	took     time.Duration
+}
+
+func (a *attempt) run(l *loop) {
+	a.began, a.post = time.Now(), l.post
+	call := engine.Call{Path: a.fl.req.Path, ID: a.id, Key: a.fl.traits.IdempotencyKey, Deadline: a.limit}
+	var out engine.Outcome
+	if a.write {
+		call.Body = a.fl.req.WriteBody(a.kv, a.fl.whole != nil)
+		call.Once = a.fl.class.Effect == choice.Unsafe
+		out = l.client.Write(&a.handle, a.srv, call, a)
+	} else {
+		call.Body = a.fl.req.ReadBody()
+		out = l.client.Read(&a.handle, a.srv, call)
+	}
+	took := time.Since(a.began)
+	a.resultMu.Lock()
+	a.result, a.took = resultNames[out.Result], took
+	a.resultMu.Unlock()
+	over := a.finish(&out)
+	a.unsent = out.Result == choice.NotSent || out.Result == choice.ConnectFailed || out.Result == choice.Turned
+	close(a.ended)
+	if !a.write && out.Result != choice.ReadDone { // a state that it may have left is known to nobody
+		l.work.Add(1)
+		go func() {
+			defer l.work.Done()
+			a.letGo(l)
+		}()
+	}
+	l.post(item{kv: out.KV, out: &out, ev: choice.Outcome{Request: a.fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: took, Over: over,
+		Result: out.Result, NoState: out.NoState, Kept: out.Kept, Report: out.Report}})
+}
+
+// letGo tells the reader to let go of the state of this attempt, which has ended.
+func (a *attempt) letGo(l *loop) {
+	if a.unsent || !l.client.Extended {
+		return
+	}
+	result := "done"
+	if err := l.client.Release(a.srv, a.id, time.Now().Add(l.releaseTime())); err != nil {
+		result = "failed"
+		l.f.log.Warn("read state not let go", zap.String("engine", a.srv.Name), zap.String("attempt", a.id), zap.Error(err))
+	}
+	l.f.m.Releases.WithLabelValues(result).Inc()
+}
+
+// finish ends the client's answer where this attempt owns it, and tells whether the request is over by it.
+func (a *attempt) finish(out *engine.Outcome) (over bool) {
+	fl := a.fl
+	if out.Reply != nil { // the engine blames the request; its word is the answer
+		return fl.finish(answer{status: out.Reply.Status, body: out.Reply.Body})
+	}
+	if !a.owns {
+		return false
+	}
+	if fl.whole != nil {
+		body, err := fl.whole.JSON()
+		if out.Result != choice.Served || err != nil {
+			fl.settle(streaming, failure(fl))
+			return true
+		}
+		fl.settle(streaming, answer{status: 200, body: body})
+		return true
+	}
+	a.endStream(out)
+	return true
+}
+
+// endStream writes the end of a stream, a break told inside it, and gives the connection back.
+func (a *attempt) endStream(out *engine.Outcome) {
+	fl := a.fl
+	fl.result = "served"
+	b := a.out[:0]
+	if out.Result != choice.Served {
+		fl.result = "broken"
+		e := &api.Error{Type: "server_error", Code: "stream_broken", Message: "the stream broke; it may have run on"}
+		ev := append(append([]byte("data: "), e.JSON()...), "\n\n"...)
+		b = a.frame(b, ev)
+	}
+	if a.broken == nil {
+		if fl.chunks {
+			b = append(b, http1.LastChunk...)
+		}
+		if len(b) > 0 {
+			a.broken = fl.to.write(b)
+		}
+	}
+	if a.broken != nil {
+		fl.result = "gone"
+	}
+	putFrame(a.out)
+	a.out = nil
+	fl.state.CompareAndSwap(streaming, answered)
+	fl.to.kick()
+	close(fl.done)
+}
+
+var frames = sync.Pool{New: func() any { b := make([]byte, 0, 4096+64); return &b }}
+
+func putFrame(b []byte) {
+	if cap(b) <= 16<<10 {
+		frames.Put(&b)
+	}
+}
+
+// Begin implements engine.Sink: the first token is here.
+func (a *attempt) Begin() bool {
+	fl := a.fl
+	if !fl.state.CompareAndSwap(open, streaming) {
+		return false
+	}
+	a.owns = true
+	fl.req = nil // no further attempt needs it, and a stream may last
+	fl.freeBody()
+	since := time.Since(fl.taken)
+	fl.first.Store(int64(since))
+	fl.to.streams(fl.last)
+	a.post(item{ev: choice.First{Request: fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: time.Since(a.began)}})
+	if fl.whole == nil {
+		b := (*frames.Get().(*[]byte))[:0]
+		b = http1.AppendStatus(b, 200)
+		b = http1.AppendField(b, "Content-Type", "text/event-stream; charset=utf-8")
+		b = http1.AppendField(b, "Cache-Control", "no-cache")
+		b = http1.AppendField(b, engine.FieldID, a.id)
+		if fl.chunks {
+			b = http1.AppendField(b, "Transfer-Encoding", "chunked")
+		}
+		if !fl.keep {
+			b = http1.AppendField(b, "Connection", "close")
+		}
+		a.out = append(b, "\r\n"...)
+	}
+	return true
+}
+
+// Events implements engine.Sink. The head waits in a.out for the first events, to go out with them.
+func (a *attempt) Events(p []byte) error {
+	if a.fl.whole != nil {
+		return a.collect(p)
+	}
+	a.out = a.frame(a.out, p)
+	a.broken = a.fl.to.write(a.out)
+	a.out = a.out[:0]
+	return a.broken
+}
+
+func (a *attempt) frame(b, p []byte) []byte {
+	if a.fl.chunks {
+		return http1.AppendChunk(b, p)
+	}
+	return append(b, p...)
+}
+
+func (a *attempt) collect(p []byte) error {
+	for len(p) > 0 {
+		n := sse.Split(p)
+		if n == 0 {
+			return errors.New("front: half an event")
+		}
+		if data := sse.Data(p[:n]); data != nil && string(data) != sse.Done {
+			if err := a.fl.whole.Add(data); err != nil {
+				return err
+			}
+		}
+		p = p[n:]
+	}
+	return nil
+}
+
+// report is the one log line of a request's final answer.
+func (fl *flight) report(f *Front) {
+	f.m.Answers.WithLabelValues(fl.class.Name, fl.result).Inc()
+	if d := fl.first.Load(); d > 0 {
+		f.m.FirstToken.WithLabelValues(fl.class.Name).Observe(time.Duration(d).Seconds())
+	}
+	ce := f.log.Check(zap.InfoLevel, "answer "+fl.result)
+	if ce == nil {
+		return
+	}
+	fl.mu.Lock()
+	trail := make([]string, 0, len(fl.trail))
+	for _, a := range fl.trail {
+		a.resultMu.Lock()
+		result := a.result
+		if result == "" {
+			result = "out"
+		}
+		trail = append(trail, a.srv.Name+" "+result+" "+strconv.FormatInt(a.took.Milliseconds(), 10)+"ms")
+		a.resultMu.Unlock()
+	}
+	fl.mu.Unlock()
+	ce.Write(zap.String("id", f.wideID(fl.id, 0)), zap.String("class", fl.class.Name), zap.Int("status", fl.answer.status),
+		zap.Int("prompt_tokens", int(math.Round(fl.traits.PromptLen))), zap.Duration("first_token", time.Duration(fl.first.Load())),
+		zap.Duration("took", time.Since(fl.taken)), zap.Strings("attempts", trail))
+}
--- /dev/null
+++ b/internal/front/loop.go
@@ -0,0 +1,370 @@
+package front
+
+import (
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"brackenbend/choice"
+	"brackenbend/internal/engine"
+	"brackenbend/internal/register"
+)
+
+// item is something that happened, on its way to the loop.
+type item struct {
+	ev   choice.Event
+	fl   *flight         // with a Request
+	kv   []byte          // with the Outcome of a read
+	out  *engine.Outcome // with an Outcome
+	list *register.Update
+	stop bool // end the loop once no flight is left
+}
+
+// loop is the one goroutine that owns the Router. Nothing in it waits: connections and attempts run in
+// goroutines of their own and post items. The queue needs no bound of its own: a request open has a handful of
+// items at most in it, and open requests are bounded.
+type loop struct {
+	f      *Front
+	router *choice.Router
+	client *engine.Client
+	start  time.Time
+
+	mu     sync.Mutex
+	queue  []item
+	closed bool
+	wake   chan struct{}
+	done   chan struct{}
+	work   sync.WaitGroup // attempts and releases
+	listed atomic.Bool
+
+	// owned by the loop's goroutine
+	flights map[choice.RequestID]*flight
+	servers map[string]*listed
+	byID    map[choice.ServerID]*listed
+	zones   map[string]int
+	touched []*flight // that this round may have ended
+	ending  bool
+}
+
+type listed struct {
+	register.Engine
+	srv *engine.Server
+}
+
+// epoch is the loop's time at its start. It is not 0, so that engines may have started before the front did.
+const epoch = 24 * time.Hour
+
+func newLoop(f *Front, r *choice.Router, c *engine.Client) *loop {
+	l := &loop{f: f, router: r, client: c, start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}),
+		flights: map[choice.RequestID]*flight{}, servers: map[string]*listed{}, byID: map[choice.ServerID]*listed{}, zones: map[string]int{}}
+	go l.run()
+	return l
+}
+
+// now is the loop's monotonic time.
+func (l *loop) now() time.Duration { return epoch + time.Since(l.start) }
+
+func (l *loop) post(it item) {
+	l.mu.Lock()
+	if !l.closed {
+		l.queue = append(l.queue, it)
+	}
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// close calls off what is still out, and ends the loop once no flight is left and every state is let go.
+func (l *loop) close() {
+	l.post(item{stop: true})
+	<-l.done
+	l.work.Wait()
+	for _, s := range l.servers {
+		s.srv.Shut()
+	}
+}
+
+func (l *loop) run() {
+	defer close(l.done)
+	var batch []item
+	var events []choice.Event
+	for range l.wake {
+		l.mu.Lock()
+		batch, l.queue = l.queue, batch[:0]
+		l.mu.Unlock()
+		if len(batch) == 0 {
+			continue
+		}
+		began := time.Now()
+		events, l.touched = events[:0], l.touched[:0]
+		for i := range batch {
+			if ev := l.event(&batch[i]); ev != nil {
+				events = append(events, ev)
+			}
+		}
+		for _, a := range l.router.Step(l.now(), events) {
+			l.act(a)
+		}
+		for _, fl := range l.touched {
+			if fl.out == 0 && fl.over() {
+				delete(l.flights, fl.id)
+			}
+		}
+		l.f.m.Step.Observe(time.Since(began).Seconds())
+		l.f.m.Queue.Observe(float64(len(batch)))
+		clear(batch)
+		clear(l.touched)
+		if l.ending && len(l.flights) == 0 {
+			l.mu.Lock()
+			l.closed = true
+			l.mu.Unlock()
+			return
+		}
+	}
+}
+
+// event books an item and gives the module's view of it.
+func (l *loop) event(it *item) choice.Event {
+	switch ev := it.ev.(type) {
+	case choice.Request:
+		l.flights[ev.ID] = it.fl
+		l.touched = append(l.touched, it.fl)
+	case choice.ClientGone:
+		l.flight(ev.Request)
+	case choice.Outcome:
+		if fl := l.flight(ev.Request); fl != nil {
+			l.ended(fl, &ev, it)
+		}
+	}
+	switch {
+	case it.list != nil:
+		return l.list(it.list)
+	case it.stop:
+		l.ending = true
+		for _, fl := range l.flights {
+			for _, a := range fl.attempts {
+				a.handle.Cancel()
+			}
+		}
+		return nil
+	}
+	return it.ev
+}
+
+// flight finds an open flight that may end in this round.
+func (l *loop) flight(id choice.RequestID) *flight {
+	fl := l.flights[id]
+	if fl != nil {
+		l.touched = append(l.touched, fl)
+	}
+	return fl
+}
+
+// ended books the end of an attempt.
+func (l *loop) ended(fl *flight, ev *choice.Outcome, it *item) {
+	fl.out--
+	if ev.Result == choice.ReadDone {
+		fl.kv = it.kv
+	}
+	stage := "read"
+	if fl.attempts[ev.Attempt].write {
+		stage = "write"
+	}
+	l.f.m.Attempts.WithLabelValues(stage, resultNames[ev.Result]).Inc()
+}
+
+var resultNames = [...]string{choice.Served: "served", choice.Errored: "errored", choice.Turned: "turned", choice.TimedOut: "timed out",
+	choice.ConnectFailed: "connect failed", choice.Reset: "reset", choice.Cancelled: "cancelled", choice.NotSent: "not sent",
+	choice.ReadDone: "read"}
+
+var roleNames = [...]string{choice.Reader: "reader", choice.Writer: "writer", choice.Mixed: "mixed"}
+
+func (l *loop) act(a choice.Action) {
+	switch a := a.(type) {
+	case choice.Send:
+		l.send(a)
+	case choice.Refuse:
+		if fl := l.flight(a.Request); fl != nil {
+			fl.finish(refusal(a.Wait))
+		}
+	case choice.Fail:
+		if fl := l.flight(a.Request); fl != nil {
+			fl.finish(failure(fl))
+		}
+	case choice.Cancel:
+		if fl := l.flights[a.Request]; fl != nil && a.Attempt < len(fl.attempts) {
+			fl.attempts[a.Attempt].handle.Cancel()
+		}
+	case choice.Release:
+		if fl := l.flights[a.Request]; fl != nil {
+			l.release(fl)
+		}
+	case choice.Wake:
+		time.AfterFunc(a.After, func() { l.post(item{ev: choice.Timer{Tag: a.Tag}}) })
+	case choice.Log:
+		l.f.log.Info("module", zap.String("text", a.Text))
+	}
+}
+
+// send starts an attempt in a goroutine of its own.
+func (l *loop) send(a choice.Send) {
+	fl, s := l.flights[a.Request], l.byID[a.Server]
+	if fl == nil || s == nil { // the module sends for requests it was told of, to servers it was told of
+		l.f.log.Error("send for an unknown request or server", zap.Uint32("request", uint32(a.Request)), zap.Uint32("server", uint32(a.Server)))
+		l.post(item{ev: choice.Outcome{Request: a.Request, Server: a.Server, Result: choice.NotSent}})
+		return
+	}
+	n := len(fl.attempts)
+	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: l.f.wideID(fl.id, n), ended: make(chan struct{})}
+	att.limit = fl.due
+	if a.Timeout > 0 {
+		att.limit = minTime(att.limit, time.Now().Add(a.Timeout))
+	}
+	if att.write {
+		att.kv = fl.kv
+	} else {
+		fl.kv = nil
+	}
+	fl.attempts = append(fl.attempts, att)
+	fl.out++
+	fl.note(att)
+	l.work.Add(1)
+	go func() {
+		defer l.work.Done()
+		att.run(l)
+	}()
+}
+
+func minTime(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// release lets go of what reads of fl left at readers. Each is told once its attempt has ended, so that the
+// word can't overtake the read; letting go twice is harmless.
+func (l *loop) release(fl *flight) {
+	if !l.client.Extended {
+		return
+	}
+	for _, att := range fl.attempts {
+		if att.write || att.released {
+			continue
+		}
+		att.released = true
+		l.work.Add(1)
+		go func() {
+			defer l.work.Done()
+			<-att.ended
+			att.letGo(l)
+		}()
+	}
+}
+
+func (l *loop) releaseTime() time.Duration {
+	if d := l.f.set.Service.Release; d > 0 {
+		return d
+	}
+	return 300 * time.Millisecond // choice.Settings.ReleaseWithin's own default
+}
+
+// list turns an update into the module's terms. Servers that drain or are gone are shut before the module hears
+// of them, so that what it decided a moment ago is not sent either.
+func (l *loop) list(u *register.Update) choice.Event {
+	scopes := map[choice.ListScope]string{choice.Changes: "changes", choice.Full: "full", choice.Cached: "cached", choice.Failed: "failed"}
+	l.f.m.Lists.WithLabelValues(scopes[u.Scope]).Inc()
+	ev := choice.ServerList{Scope: u.Scope}
+	if u.Scope == choice.Failed {
+		return ev
+	}
+	named := map[string]bool{}
+	for _, e := range u.Engines {
+		kind := l.f.set.KindIndex(e.Kind)
+		if kind < 0 {
+			l.f.log.Warn("engine of a kind that the settings don't name", zap.String("engine", e.Name), zap.String("kind", e.Kind))
+			continue
+		}
+		named[e.Name] = true
+		s := l.server(e, kind)
+		ready := time.Duration(0)
+		if !e.Started.IsZero() {
+			ready = max(epoch+e.Started.Sub(l.start), 0)
+		}
+		ev.Servers = append(ev.Servers, choice.Server{ID: s.srv.ID, Kind: kind, Zone: l.intern("zone " + e.Zone),
+			Cell: l.intern("cell " + e.Cell), State: e.State, ReadyAt: ready})
+	}
+	if u.Scope != choice.Changes {
+		for name, s := range l.servers {
+			if !named[name] && s.State != choice.Gone {
+				s.State = choice.Gone
+				s.srv.Shut()
+			}
+		}
+	}
+	l.listed.Store(true)
+	l.countEngines()
+	return ev
+}
+
+// server finds or makes the server of e and opens or shuts it. Another process under the same name gets a
+// handle of its own: what was decided for the old one is not sent to the new.
+func (l *loop) server(e register.Engine, kind int) *listed {
+	s := l.servers[e.Name]
+	role := l.f.kinds[kind].Role
+	if s == nil || s.UID != e.UID || s.Address != e.Address || s.srv.Role != role {
+		id := l.freeID(e.Name)
+		if s != nil {
+			id = s.srv.ID
+			s.srv.Shut()
+		}
+		s = &listed{srv: &engine.Server{ID: id, Name: e.Name, Address: e.Address, Role: role}}
+		l.servers[e.Name], l.byID[id] = s, s
+	}
+	if !e.Started.Equal(s.Started) {
+		s.srv.Forget()
+	}
+	s.Engine = e
+	if e.State == choice.Ready {
+		s.srv.Open()
+	} else {
+		s.srv.Shut()
+	}
+	return s
+}
+
+// freeID gives the same id to the same name in every front, since prefixes are hashed with it; only where two
+// names of one list collide (about 1 in 16,000 lists of 740) may fronts differ.
+func (l *loop) freeID(name string) choice.ServerID {
+	for i := 0; ; i++ {
+		id := choice.ServerID(xxhash.Sum64String(name + "#" + strconv.Itoa(i)))
+		if l.byID[id] == nil && id != 0 {
+			return id
+		}
+	}
+}
+
+func (l *loop) intern(s string) int {
+	n, ok := l.zones[s]
+	if !ok {
+		n = len(l.zones)
+		l.zones[s] = n
+	}
+	return n
+}
+
+func (l *loop) countEngines() {
+	l.f.m.Engines.Reset()
+	states := [...]string{choice.Gone: "gone", choice.Ready: "ready", choice.Draining: "draining"}
+	for _, s := range l.servers {
+		if s.State != choice.Gone {
+			l.f.m.Engines.WithLabelValues(roleNames[s.srv.Role], states[s.State]).Inc()
+		}
+	}
+}
--- /dev/null
+++ b/internal/register/slice.go
@@ -0,0 +1,221 @@
+// Package register keeps the list of engines: it lists and watches discovery.k8s.io/v1 EndpointSlices over the
+// Kubernetes API conventions, or takes a static list, and keeps the last list on disk for the next start. It
+// knows nothing of health.
+package register
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"time"
+
+	"brackenbend/choice"
+)
+
+// Engine is one engine of the list.
+type Engine struct {
+	Name    string       `json:"name"`
+	Address string       `json:"address"` // host:port
+	Kind    string       `json:"kind"`
+	Zone    string       `json:"zone,omitempty"`
+	Cell    string       `json:"cell,omitempty"`
+	UID     string       `json:"uid,omitempty"` // changes when the process is another
+	State   choice.State `json:"state"`
+	Started time.Time    `json:"started,omitzero"` // zero = long ago
+}
+
+// Update is news of the list. In one of scope Changes an engine that left has the state Gone.
+type Update struct {
+	Scope   choice.ListScope
+	Engines []Engine
+}
+
+// The part of discovery.k8s.io/v1 that is used.
+type (
+	meta struct {
+		Name            string            `json:"name"`
+		ResourceVersion string            `json:"resourceVersion"`
+		Labels          map[string]string `json:"labels,omitempty"`
+		Annotations     map[string]string `json:"annotations,omitempty"`
+	}
+	// EndpointSlice is a discovery.k8s.io/v1 EndpointSlice.
+	EndpointSlice struct {
+		Metadata    meta       `json:"metadata"`
+		AddressType string     `json:"addressType"`
+		Endpoints   []Endpoint `json:"endpoints"`
+		Ports       []Port     `json:"ports"`
+	}
+	// Endpoint is one endpoint of a slice.
+	Endpoint struct {
+		Addresses  []string   `json:"addresses"`
+		Conditions Conditions `json:"conditions"`
+		Zone       *string    `json:"zone,omitempty"`
+		TargetRef  *struct {
+			Name string `json:"name"`
+			UID  string `json:"uid"`
+		} `json:"targetRef,omitempty"`
+	}
+	// Conditions of an endpoint; nil means unknown, which the API says to read as ready and not terminating.
+	Conditions struct {
+		Ready       *bool `json:"ready,omitempty"`
+		Serving     *bool `json:"serving,omitempty"`
+		Terminating *bool `json:"terminating,omitempty"`
+	}
+	// Port of all endpoints of a slice.
+	Port struct {
+		Name *string `json:"name,omitempty"`
+		Port *int32  `json:"port,omitempty"`
+	}
+)
+
+// AnnotationStarted names an optional annotation of a slice: a JSON object from endpoint name to the RFC 3339
+// time of its process' start. Without it an engine counts as just started when its uid is first seen ready
+// after the first list.
+const AnnotationStarted = "brackenbend.dev/started"
+
+// table is what has been learnt of the slices.
+type table struct {
+	kindLabel, cellLabel string
+	slices               map[string]*EndpointSlice
+	versions             map[string]string // newest seen of each name, also of deleted ones
+	engines              map[string]Engine
+	complete             bool // the first list was taken
+	now                  func() time.Time
+}
+
+// newer tells whether version b may follow a. Versions that are decimal numbers are compared as such, since the
+// API guarantees their order; others are taken to be newer.
+func newer(a, b string) bool {
+	x, err1 := strconv.ParseUint(a, 10, 64)
+	y, err2 := strconv.ParseUint(b, 10, 64)
+	return err1 != nil || err2 != nil || y > x
+}
+
+// apply takes one watch event and returns what changed. Events older than what is known of their slice are
+// passed over: a resumed watch may tell of a slice that was removed meanwhile.
+func (t *table) apply(kind string, s *EndpointSlice) []Engine {
+	m := &s.Metadata
+	if last, ok := t.versions[m.Name]; ok && !newer(last, m.ResourceVersion) {
+		return nil
+	}
+	t.versions[m.Name] = m.ResourceVersion
+	if kind == "DELETED" {
+		delete(t.slices, m.Name)
+	} else {
+		t.slices[m.Name] = s
+	}
+	return t.derive()
+}
+
+// replace takes a whole list.
+func (t *table) replace(list []*EndpointSlice) []Engine {
+	t.slices, t.versions = map[string]*EndpointSlice{}, map[string]string{}
+	for _, s := range list {
+		t.slices[s.Metadata.Name] = s
+		t.versions[s.Metadata.Name] = s.Metadata.ResourceVersion
+	}
+	t.derive()
+	t.complete = true
+	return slices.SortedFunc(maps.Values(t.engines), byName)
+}
+
+func byName(a, b Engine) int { return cmp.Compare(a.Name, b.Name) }
+
+// derive makes the engines of all slices and returns those that differ from before, the lost ones as Gone.
+func (t *table) derive() []Engine {
+	was := t.engines
+	t.engines = map[string]Engine{}
+	for _, name := range slices.Sorted(maps.Keys(t.slices)) {
+		t.fromSlice(t.slices[name], was)
+	}
+	var changed []Engine
+	for name, e := range t.engines {
+		if old, ok := was[name]; !ok || old != e {
+			changed = append(changed, e)
+		}
+	}
+	for name, e := range was {
+		if _, ok := t.engines[name]; !ok {
+			e.State = choice.Gone
+			changed = append(changed, e)
+		}
+	}
+	slices.SortFunc(changed, byName)
+	return changed
+}
+
+func (t *table) fromSlice(s *EndpointSlice, was map[string]Engine) {
+	port := 0
+	for _, p := range s.Ports {
+		if p.Port != nil && (port == 0 || p.Name != nil && *p.Name == "http") {
+			port = int(*p.Port)
+		}
+	}
+	started := map[string]time.Time{}
+	if a := s.Metadata.Annotations[AnnotationStarted]; a != "" {
+		_ = json.Unmarshal([]byte(a), &started) // malformed: as if absent
+	}
+	for _, p := range s.Endpoints {
+		if len(p.Addresses) == 0 || port <= 0 || port > 65535 {
+			continue
+		}
+		if _, err := netip.ParseAddr(p.Addresses[0]); err != nil {
+			continue
+		}
+		e := Engine{Address: net.JoinHostPort(p.Addresses[0], strconv.Itoa(port)), Kind: s.Metadata.Labels[t.kindLabel],
+			Cell: s.Metadata.Labels[t.cellLabel], State: choice.Ready}
+		e.Name = e.Address
+		if p.TargetRef != nil && p.TargetRef.Name != "" {
+			e.Name, e.UID = p.TargetRef.Name, p.TargetRef.UID
+		}
+		if p.Zone != nil {
+			e.Zone = *p.Zone
+		}
+		switch c := p.Conditions; {
+		case c.Terminating != nil && *c.Terminating:
+			e.State = choice.Draining
+		case c.Ready != nil && !*c.Ready:
+			e.State = choice.Gone
+		}
+		t.start(&e, started, was)
+		// an endpoint may stand in two slices while it moves between them: a drain told by either counts
+		if other, ok := t.engines[e.Name]; ok && other.State != choice.Ready {
+			e.State = other.State
+		}
+		t.engines[e.Name] = e
+	}
+}
+
+func (t *table) start(e *Engine, told map[string]time.Time, was map[string]Engine) {
+	now := t.now()
+	if at, ok := told[e.Name]; ok {
+		if at.After(now) { // the other clock is ahead
+			at = now
+		}
+		e.Started = at
+		if old, ok := was[e.Name]; ok && old.UID == e.UID && !old.Started.IsZero() && at.Sub(old.Started).Abs() < time.Second {
+			e.Started = old.Started
+		}
+		return
+	}
+	old, known := was[e.Name]
+	switch {
+	case known && old.UID == e.UID && (old.State != choice.Gone || e.State == choice.Gone):
+		e.Started = old.Started
+	case t.complete && e.State != choice.Gone:
+		e.Started = now
+	}
+}
+
+// check refuses what no list can be made of.
+func (s *EndpointSlice) check() error {
+	if s.Metadata.Name == "" || s.Metadata.ResourceVersion == "" {
+		return fmt.Errorf("register: a slice without name or resourceVersion")
+	}
+	return nil
+}
