--- /dev/null
+++ b/cmd/brackenbend/serve.go
@@ -0,0 +1,181 @@
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"brackenbend/choice"
+	"brackenbend/internal/config"
+	"brackenbend/internal/front"
+	"brackenbend/internal/obs"
+	"brackenbend/internal/register"
+)
+
+func serveCommand() *cobra.Command {
+	var file string
+	cmd := &cobra.Command{
+		Use:   "serve -c FILE",
+		Short: "Run a front",
+		Long: `Run a front until SIGTERM or SIGINT, which lets it answer what it holds (within <front drain="..."/>) and exit.
+SIGHUP reads the settings again and takes models, rules, sessions and prefixes; a file with problems, or one that
+differs elsewhere, is reported and changes nothing.`,
+		Example: "  brackenbend serve -c front.xml",
+		Args:    exactly(0),
+		RunE:    func(*cobra.Command, []string) error { return serve(file) },
+	}
+	cmd.Flags().StringVarP(&file, "config", "c", "", "settings file")
+	_ = cmd.MarkFlagRequired("config")
+	return cmd
+}
+
+func serve(file string) error {
+	set, err := config.Load(file)
+	if err != nil {
+		return configError(err)
+	}
+	log, err := obs.Logger(os.Stderr, set.Log.Format, set.Log.Level, set.Log.Storm)
+	if err != nil {
+		return err
+	}
+	log = log.With(zap.String("front", set.Front.Name))
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	d, err := startFront(set, log)
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case err := <-d.failed:
+			d.stop()
+			return err
+		case sig := <-signals:
+			if sig != syscall.SIGHUP {
+				log.Info("draining", zap.String("signal", sig.String()), zap.Duration("at most", set.Front.Drain))
+				d.stop()
+				log.Info("ended")
+				_ = log.Sync()
+				return nil
+			}
+			if err := reload(d.front, file); err != nil {
+				log.Error("settings not taken", zap.String("file", file), zap.Error(err))
+			} else {
+				log.Info("settings taken", zap.String("file", file))
+			}
+		}
+	}
+}
+
+func reload(f *front.Front, file string) error {
+	set, err := config.Load(file)
+	if err != nil {
+		return err
+	}
+	return f.Reload(set)
+}
+
+// daemon is a running front with its list of engines and its admin listener.
+type daemon struct {
+	front   *front.Front
+	addr    string
+	failed  chan error
+	stop    func()
+	drained time.Duration
+}
+
+// startFront wires a front: listeners, the list of engines, metrics.
+func startFront(set *config.Settings, log *zap.Logger) (*daemon, error) {
+	m := obs.NewMetrics()
+	f, err := front.New(set, log, m)
+	if err != nil {
+		return nil, err
+	}
+	l, err := net.Listen("tcp", set.Front.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	d := &daemon{front: f, addr: l.Addr().String(), failed: make(chan error, 2)}
+	var admin net.Listener
+	if set.Front.Admin != "" {
+		if admin, err = net.Listen("tcp", set.Front.Admin); err != nil {
+			l.Close()
+			return nil, fmt.Errorf("admin: %w", err)
+		}
+		go func() {
+			if err := m.Serve(admin, f.NotReady); !errors.Is(err, net.ErrClosed) {
+				d.failed <- err
+			}
+		}()
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	watched := make(chan struct{})
+	if err := follow(ctx, set, f, log, watched); err != nil {
+		cancel()
+		l.Close()
+		return nil, err
+	}
+	go func() {
+		if err := f.Serve(l); err != nil {
+			d.failed <- err
+		}
+	}()
+	log.Info("serving", zap.String("listen", d.addr))
+	d.stop = func() {
+		ctx, done := context.WithTimeout(context.Background(), set.Front.Drain)
+		defer done()
+		f.Shutdown(ctx)
+		cancel()
+		<-watched
+		if admin != nil {
+			admin.Close()
+		}
+	}
+	return d, nil
+}
+
+// follow gives the front its list: once from the settings, or by watching the register until ctx ends.
+func follow(ctx context.Context, set *config.Settings, f *front.Front, log *zap.Logger, watched chan struct{}) error {
+	if set.Register == nil {
+		var list []register.Engine
+		for _, s := range set.Servers {
+			list = append(list, register.Engine{Name: s.Name, Address: s.Address, Kind: s.Kind, Zone: s.Zone, Cell: s.Cell, State: choice.Ready})
+		}
+		f.Deliver(register.Update{Scope: choice.Full, Engines: list})
+		close(watched)
+		return nil
+	}
+	r := set.Register
+	transport := &http.Transport{DialContext: (&net.Dialer{Timeout: 5 * time.Second}).DialContext, ResponseHeaderTimeout: 10 * time.Second}
+	if r.CAFile != "" {
+		pem, err := os.ReadFile(r.CAFile)
+		if err != nil {
+			return fmt.Errorf("register ca-file: %w", err)
+		}
+		pool := x509.NewCertPool()
+		if !pool.AppendCertsFromPEM(pem) {
+			return fmt.Errorf("register ca-file: %s holds no certificate", r.CAFile)
+		}
+		transport.TLSClientConfig = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}
+	w := &register.Watcher{URL: r.URL, Namespace: r.Namespace, Selector: r.Selector, KindLabel: r.Kinds, CellLabel: r.Cells,
+		TokenFile: r.TokenFile, Cache: r.Cache, Client: &http.Client{Transport: transport}, Agent: front.Agent(set), Deliver: f.Deliver,
+		First: 100 * time.Millisecond, Most: 5 * time.Second, Silence: 90 * time.Second,
+		Log: func(msg string, err error) { log.Warn(msg, zap.Error(err)) }}
+	go func() {
+		defer close(watched)
+		w.Run(ctx)
+	}()
+	return nil
+}
--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,349 @@
+// Package audit judges the five rules from a record of what passed on the sockets of clients, engines and the
+// register. It asks no front anything and imports nothing of it.
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Kind says what an event is.
+type Kind string
+
+// The events. In brackets the fields that count beside At.
+const (
+	Sent      Kind = "sent"     // client wrote a whole request [Try, Effect, Class, Front, Until]
+	Unsent    Kind = "unsent"   // client could not write it whole: not taken [Try]
+	Answer    Kind = "answer"   // client has its final answer whole [Try, Result]
+	Cut       Kind = "cut"      // the connection ended before a final answer [Try]
+	Extra     Kind = "extra"    // bytes came after the final answer [Try]
+	HungUp    Kind = "hung up"  // client left by itself [Try]
+	FrontUp   Kind = "front up" // [Front]
+	FrontKill Kind = "front killed"
+	Told      Kind = "told"       // the register wrote to a front that an engine drains or is gone [Front, Engine]
+	ToldReady Kind = "told ready" // ... or is ready
+	Arrive    Kind = "arrive"     // a new read or write reached an engine [Engine, Front, Request, Write]
+	End       Kind = "end"        // the engine is through with it [Engine, Request]
+	Run       Kind = "run"        // it took effect [Engine, Request, Try, Effect, Class]
+	Repeat    Kind = "repeat"     // a repeat was dropped by the engines' group
+	Held      Kind = "held"       // a read state waits at a reader [Engine, Request]
+	LetGo     Kind = "let go"     // it is gone from there: fetched, released, expired, or the engine died
+	Fell      Kind = "fell over"  // a cold engine was pushed over [Engine]
+	EngineUp  Kind = "engine up"
+	EngineOff Kind = "engine off"
+)
+
+// Class is how a class may be repeated.
+type Class string
+
+// The three effects.
+const (
+	Safe   Class = "safe"
+	Keyed  Class = "keyed"
+	Unsafe Class = "unsafe"
+)
+
+// Event is one line of the record.
+type Event struct {
+	At      time.Duration `json:"at"`
+	Kind    Kind          `json:"kind"`
+	Front   string        `json:"front,omitempty"`
+	Engine  string        `json:"engine,omitempty"`
+	Request string        `json:"request,omitempty"` // the id on the engines' sockets: front's run, number, attempt
+	Write   bool          `json:"write,omitempty"`
+	Try     string        `json:"try,omitempty"`    // one request of a client
+	Effect  string        `json:"effect,omitempty"` // what its tries have in common
+	Class   Class         `json:"class,omitempty"`
+	Result  string        `json:"result,omitempty"` // served, refused, failed, broken, invalid
+	Until   time.Duration `json:"until,omitempty"`  // the client's time
+}
+
+// Record collects events from many goroutines.
+type Record struct {
+	mu     sync.Mutex
+	start  time.Time
+	events []Event
+}
+
+// NewRecord begins a record now.
+func NewRecord() *Record { return &Record{start: time.Now()} }
+
+// Now is the record's time.
+func (r *Record) Now() time.Duration { return time.Since(r.start) }
+
+// Add stamps and keeps an event.
+func (r *Record) Add(e Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.At = time.Since(r.start)
+	r.events = append(r.events, e)
+}
+
+// Events are all events so far, by time.
+func (r *Record) Events() []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.events)
+}
+
+// Limits are the figures of the rules.
+type Limits struct {
+	DrainGrace time.Duration
+	Release    time.Duration
+	// Slack is added to what is measured at two different sockets; the rules' own times hold without it.
+	Slack time.Duration
+}
+
+// Verdict is the judgement on one rule.
+type Verdict struct {
+	Rule     string   `json:"rule"`
+	Checks   int      `json:"checks"`
+	Breaches []string `json:"breaches"`
+	Worst    string   `json:"worst,omitempty"` // the nearest to a breach, where that is a time
+}
+
+func (v *Verdict) breach(at time.Duration, format string, a ...any) {
+	v.Breaches = append(v.Breaches, fmt.Sprintf("%.3fs: ", at.Seconds())+fmt.Sprintf(format, a...))
+}
+
+// Judge judges a whole record. A rule that was never checked counts as a breach of the audit itself only to
+// the caller: Checks is 0.
+func Judge(events []Event, lim Limits) []Verdict {
+	events = slices.Clone(events)
+	slices.SortStableFunc(events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	return []Verdict{oneAnswer(events), onceOnly(events), drains(events, lim), cold(events), pinned(events, lim)}
+}
+
+// killedWithin tells whether the front was killed in the span.
+func killed(events []Event) func(front string, from, to time.Duration) bool {
+	kills := map[string][]time.Duration{}
+	for _, e := range events {
+		if e.Kind == FrontKill {
+			kills[e.Front] = append(kills[e.Front], e.At)
+		}
+	}
+	return func(front string, from, to time.Duration) bool {
+		return slices.ContainsFunc(kills[front], func(at time.Duration) bool { return at >= from && at <= to })
+	}
+}
+
+// oneAnswer: all that a running front has taken gets exactly one final answer before the client's time is up.
+func oneAnswer(events []Event) Verdict {
+	v := Verdict{Rule: "one final answer in time, nothing after it"}
+	type try struct {
+		sent, ended Event
+		answers     int
+	}
+	tries := map[string]*try{}
+	died := killed(events)
+	for _, e := range events {
+		switch e.Kind {
+		case Sent:
+			tries[e.Try] = &try{sent: e}
+		case Answer, Cut, HungUp, Extra:
+			t := tries[e.Try]
+			if t == nil { // answered before the whole request was written: a refusal on the way
+				t = &try{sent: Event{At: e.At, Until: e.At, Front: e.Front}}
+				tries[e.Try] = t
+			}
+			if e.Kind == Extra {
+				v.breach(e.At, "try %s: bytes after the final answer", e.Try)
+				continue
+			}
+			if e.Kind == Answer {
+				if t.answers++; t.answers > 1 {
+					v.breach(e.At, "try %s: a second final answer (%s)", e.Try, e.Result)
+				}
+			}
+			if t.ended.Kind == "" {
+				t.ended = e
+			}
+		}
+	}
+	var worst time.Duration
+	for _, name := range slices.Sorted(maps.Keys(tries)) {
+		t := tries[name]
+		v.Checks++
+		switch t.ended.Kind {
+		case HungUp:
+		case Answer:
+			if t.ended.Result != "served" && t.ended.Result != "broken" && t.sent.Until > 0 && t.ended.At > t.sent.Until {
+				v.breach(t.ended.At, "try %s: %s came %v after the client's time", name, t.ended.Result, t.ended.At-t.sent.Until)
+			}
+			if t.ended.Result != "served" && t.ended.Result != "broken" {
+				worst = max(worst, t.ended.At-t.sent.At)
+			}
+		case Cut:
+			if !died(t.sent.Front, t.sent.At-time.Second, t.ended.At+time.Second) {
+				v.breach(t.ended.At, "try %s: the connection ended without an answer, front %s was not killed", name, t.sent.Front)
+			}
+		default:
+			if !died(t.sent.Front, t.sent.At-time.Second, t.sent.Until+time.Second) {
+				v.breach(t.sent.At, "try %s: no answer at all", name)
+			}
+		}
+	}
+	v.Worst = fmt.Sprintf("slowest refusal or failure %v after the request", worst.Round(time.Millisecond))
+	return v
+}
+
+// onceOnly: no effect twice, and nothing is refused that may have run.
+func onceOnly(events []Event) Verdict {
+	v := Verdict{Rule: "no effect twice, no refusal of what may have run"}
+	ran := map[string]int{}
+	ranTry := map[string]Event{}
+	for _, e := range events {
+		if e.Kind != Run {
+			continue
+		}
+		v.Checks++
+		ranTry[e.Try] = e
+		if ran[e.Effect]++; e.Class != Safe && ran[e.Effect] > 1 {
+			v.breach(e.At, "%s effect %s ran %d times, last at %s as %s", e.Class, e.Effect, ran[e.Effect], e.Engine, e.Request)
+		}
+	}
+	for _, e := range events {
+		if e.Kind != Answer || e.Result != "refused" {
+			continue
+		}
+		v.Checks++
+		if r, ok := ranTry[e.Try]; ok && r.Class == Unsafe {
+			v.breach(e.At, "try %s of an unsafe class was refused, it had run at %s", e.Try, r.Engine)
+		}
+	}
+	return v
+}
+
+// drains: nothing new to an engine later than the grace after the front was told.
+func drains(events []Event, lim Limits) Verdict {
+	v := Verdict{Rule: "drains are kept"}
+	told := map[string]time.Duration{}
+	var worst time.Duration
+	for _, e := range events {
+		key := e.Front + " to " + e.Engine
+		switch e.Kind {
+		case Told:
+			if _, ok := told[key]; !ok {
+				told[key] = e.At
+			}
+		case ToldReady:
+			delete(told, key)
+		case FrontKill: // its next process is told anew
+			for k := range told {
+				if strings.HasPrefix(k, e.Front+" to ") {
+					delete(told, k)
+				}
+			}
+		case Arrive:
+			v.Checks++
+			if at, ok := told[key]; ok {
+				worst = max(worst, e.At-at)
+				if e.At-at > lim.DrainGrace {
+					v.breach(e.At, "%s sent %s to %s %v after it was told", e.Front, e.Request, e.Engine, e.At-at)
+				}
+			}
+		}
+	}
+	v.Worst = fmt.Sprintf("latest arrival %v after the front was told, %v allowed", worst.Round(time.Millisecond), lim.DrainGrace)
+	return v
+}
+
+// cold: no engine that has just started is pushed over.
+func cold(events []Event) Verdict {
+	v := Verdict{Rule: "no cold engine is pushed over"}
+	for _, e := range events {
+		switch e.Kind {
+		case EngineUp:
+			v.Checks++
+		case Fell:
+			v.breach(e.At, "engine %s fell over", e.Engine)
+		}
+	}
+	return v
+}
+
+// base is a request's id without its attempt.
+func base(id string) string {
+	if i := strings.LastIndexByte(id, '-'); i >= 0 {
+		return id[:i]
+	}
+	return id
+}
+
+// pinned: state held for a request with no attempt out is taken or let go within the release time.
+func pinned(events []Event, lim Limits) Verdict {
+	v := Verdict{Rule: "nothing stays pinned"}
+	type life struct {
+		out   int
+		held  map[string]bool // attempts whose state waits
+		since time.Duration   // no attempt is out and something is held
+		front string
+	}
+	lives := map[string]*life{}
+	fronts := map[string]string{} // base -> front
+	killedAt := map[string]bool{}
+	var worst time.Duration
+	check := func(id string, l *life, now time.Duration) {
+		if l.since < 0 || killedAt[id] {
+			return
+		}
+		took := now - l.since
+		worst = max(worst, took)
+		if took > lim.Release+lim.Slack {
+			v.breach(now, "state of %s was held %v with no attempt out", id, took.Round(time.Millisecond))
+		}
+	}
+	for _, e := range events {
+		if e.Kind == FrontKill {
+			for id, f := range fronts {
+				killedAt[id] = killedAt[id] || f == e.Front
+			}
+			continue
+		}
+		if !slices.Contains([]Kind{Arrive, End, Held, LetGo}, e.Kind) || e.Request == "" {
+			continue
+		}
+		id := base(e.Request)
+		l := lives[id]
+		if l == nil {
+			l = &life{held: map[string]bool{}, since: -1}
+			lives[id] = l
+		}
+		idle := l.out == 0 && len(l.held) > 0
+		switch e.Kind {
+		case Arrive:
+			l.out++
+			fronts[id] = e.Front
+		case End:
+			l.out--
+		case Held:
+			v.Checks++
+			l.held[e.Request] = true
+		case LetGo:
+			delete(l.held, e.Request)
+		}
+		now := l.out == 0 && len(l.held) > 0
+		switch {
+		case now && !idle:
+			l.since = e.At
+		case idle && !now:
+			check(id, l, e.At)
+			l.since = -1
+		}
+	}
+	if n := len(events); n > 0 {
+		for id, l := range lives {
+			if l.out == 0 && len(l.held) > 0 {
+				check(id, l, events[n-1].At)
+			}
+		}
+	}
+	slices.Sort(v.Breaches)
+	v.Worst = fmt.Sprintf("longest held with no attempt out %v, %v allowed", worst.Round(time.Millisecond), lim.Release)
+	return v
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/url"
@@ -194,26 +195,36 @@
 
 // Parse reads settings; file is for messages. The error is Problems.
 func Parse(file string, text []byte) (*Settings, error) {
-	d := &decoder{file: file}
 	s := &Settings{}
-	if root := d.parse(text); root != nil {
-		if root.name != "brackenbend" {
-			d.problem(root.Pos, "begin with <brackenbend>", "the root element is <%s>", root.name)
+	if err := Decode(file, text, "brackenbend", s, func(report Reporter) { s.check(report) }); err != nil {
+		return nil, err
+	}
+	s.fillDefaults()
+	return s, nil
+}
+
+// Reporter takes a problem that a check found.
+type Reporter func(at Pos, mend, what string, args ...any)
+
+// Decode fills into, a pointer to a struct with cfg tags, from a file whose root element is root. check looks
+// for what no single attribute shows. The error is Problems, in the file's order.
+func Decode(file string, text []byte, root string, into any, check func(Reporter)) error {
+	d := &decoder{file: file}
+	if n := d.parse(text); n != nil {
+		if n.name != root {
+			d.problem(n.Pos, "begin with <"+root+">", "the root element is <%s>", n.name)
 		} else {
-			decode(d, root, s)
+			d.fill(n, reflect.ValueOf(into).Elem())
+			check(d.problem)
 		}
 	}
-	if len(d.problems) > 0 {
-		slices.SortStableFunc(d.problems, func(a, b Problem) int {
-			if a.Line != b.Line {
-				return a.Line - b.Line
-			}
-			return a.Column - b.Column
-		})
-		return nil, d.problems
+	if len(d.problems) == 0 {
+		return nil
 	}
-	s.fillDefaults()
-	return s, nil
+	slices.SortStableFunc(d.problems, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.Line, b.Line), cmp.Compare(a.Column, b.Column))
+	})
+	return d.problems
 }
 
 func (s *Settings) fillDefaults() {
@@ -348,56 +359,56 @@
 }
 
 // check finds contradictions that no single attribute shows.
-func (s *Settings) check(d *decoder) {
-	unique(d, "class", s.Classes, func(c Class) (Pos, string) { return c.Pos, c.Name })
-	unique(d, "tenant", s.Tenants, func(t Tenant) (Pos, string) { return t.Pos, t.Name })
-	unique(d, "kind", s.Kinds, func(k Kind) (Pos, string) { return k.Pos, k.Name })
-	unique(d, "model", s.Models, func(m Model) (Pos, string) { return m.Pos, m.Name })
-	unique(d, "server", s.Servers, func(v Server) (Pos, string) { return v.Pos, v.Name })
-	s.checkService(d)
+func (s *Settings) check(report Reporter) {
+	unique(report, "class", s.Classes, func(c Class) (Pos, string) { return c.Pos, c.Name })
+	unique(report, "tenant", s.Tenants, func(t Tenant) (Pos, string) { return t.Pos, t.Name })
+	unique(report, "kind", s.Kinds, func(k Kind) (Pos, string) { return k.Pos, k.Name })
+	unique(report, "model", s.Models, func(m Model) (Pos, string) { return m.Pos, m.Name })
+	unique(report, "server", s.Servers, func(v Server) (Pos, string) { return v.Pos, v.Name })
+	s.checkService(report)
 	for _, c := range s.Classes {
 		if c.Deadline > 0 && c.Aim > c.Deadline {
-			d.problem(c.Pos, "make aim smaller or deadline larger", "<class name=%q>: aim %v is past deadline %v", c.Name, c.Aim, c.Deadline)
+			report(c.Pos, "make aim smaller or deadline larger", "<class name=%q>: aim %v is past deadline %v", c.Name, c.Aim, c.Deadline)
 		}
 		if c.Deadline == 0 {
-			d.problem(c.Pos, "give the time a client waits, such as 5s", "<class name=%q>: a deadline of 0", c.Name)
+			report(c.Pos, "give the time a client waits, such as 5s", "<class name=%q>: a deadline of 0", c.Name)
 		}
 		if (c.Effect == "keyed") != (c.Window > 0) {
-			d.problem(c.Pos, "give window with effect=\"keyed\", and only there", "<class name=%q>: effect %s with a window of %v", c.Name, c.Effect, c.Window)
+			report(c.Pos, "give window with effect=\"keyed\", and only there", "<class name=%q>: effect %s with a window of %v", c.Name, c.Effect, c.Window)
 		}
 		if c.Group != "" && c.Effect != "keyed" {
-			d.problem(c.Pos, "remove group, or set effect=\"keyed\"", "<class name=%q>: group without effect keyed", c.Name)
+			report(c.Pos, "remove group, or set effect=\"keyed\"", "<class name=%q>: group without effect keyed", c.Name)
 		}
 		if c.LateWorth > 1 {
-			d.problem(c.Pos, "write a part from 0 to 1", "<class name=%q>: late-worth %v", c.Name, c.LateWorth)
+			report(c.Pos, "write a part from 0 to 1", "<class name=%q>: late-worth %v", c.Name, c.LateWorth)
 		}
 	}
 	for _, m := range s.Models {
 		if m.BytesPerToken == 0 || m.MaxOutput == 0 {
-			d.problem(m.Pos, "give figures above 0", "<model name=%q>: bytes-per-token or max-output is 0", m.Name)
+			report(m.Pos, "give figures above 0", "<model name=%q>: bytes-per-token or max-output is 0", m.Name)
 		}
 	}
 	for _, r := range s.Rules {
-		s.checkRule(d, r)
+		s.checkRule(report, r)
 	}
 	for _, k := range slices.Concat(s.Sessions, s.Prefixes) {
 		if (k.From == "header") != (k.Name != "") {
-			d.problem(k.Pos, "give name with from=\"header\", and only there", "from=%q with name=%q", k.From, k.Name)
+			report(k.Pos, "give name with from=\"header\", and only there", "from=%q with name=%q", k.From, k.Name)
 		}
 		if (k.From == "opening") != (k.Bytes > 0) {
-			d.problem(k.Pos, "give bytes with from=\"opening\", and only there", "from=%q with bytes=%d", k.From, k.Bytes)
+			report(k.Pos, "give bytes with from=\"opening\", and only there", "from=%q with bytes=%d", k.From, k.Bytes)
 		}
 	}
-	s.checkServers(d)
+	s.checkServers(report)
 }
 
-func (s *Settings) checkService(d *decoder) {
+func (s *Settings) checkService(report Reporter) {
 	if f := s.Front; f != nil {
-		address(d, f.Pos, "listen", f.Listen)
+		address(report, f.Pos, "listen", f.Listen)
 		if f.Admin != "" {
-			address(d, f.Pos, "admin", f.Admin)
+			address(report, f.Pos, "admin", f.Admin)
 			if f.Admin == f.Listen {
-				d.problem(f.Pos, "give admin a port of its own", "<front>: admin and listen are the same address")
+				report(f.Pos, "give admin a port of its own", "<front>: admin and listen are the same address")
 			}
 		}
 	}
@@ -406,82 +417,77 @@
 		return
 	}
 	if v.Fronts == 0 {
-		d.problem(v.Pos, "write how many fronts serve together", "<service>: fronts is 0")
+		report(v.Pos, "write how many fronts serve together", "<service>: fronts is 0")
 	}
 	if v.ColdFrom > 1 {
-		d.problem(v.Pos, "write a part from 0 to 1", "<service>: cold-from %v", v.ColdFrom)
+		report(v.Pos, "write a part from 0 to 1", "<service>: cold-from %v", v.ColdFrom)
 	}
 	if v.Overload > 0 && v.TipAfter == 0 {
-		d.problem(v.Pos, "add tip-after=\"2s\"", "<service>: overload-factor without tip-after")
+		report(v.Pos, "add tip-after=\"2s\"", "<service>: overload-factor without tip-after")
 	}
 	if v.DefaultClass != "" && s.classIndex(v.DefaultClass) < 0 {
-		d.problem(v.Pos, "name a <class>", "<service>: default-class %q is no class", v.DefaultClass)
+		report(v.Pos, "name a <class>", "<service>: default-class %q is no class", v.DefaultClass)
 	}
 	if v.DefaultTenant != "" && s.tenantIndex(v.DefaultTenant) < 0 {
-		d.problem(v.Pos, "name a <tenant>", "<service>: default-tenant %q is no tenant", v.DefaultTenant)
+		report(v.Pos, "name a <tenant>", "<service>: default-tenant %q is no tenant", v.DefaultTenant)
 	}
 }
 
-func (s *Settings) checkRule(d *decoder, r Rule) {
+func (s *Settings) checkRule(report Reporter, r Rule) {
 	if (r.Equals == "") == (r.Begins == "") {
-		d.problem(r.Pos, "give one of equals and begins", "<rule> has both or neither of equals and begins")
+		report(r.Pos, "give one of equals and begins", "<rule> has both or neither of equals and begins")
 	}
 	if (r.Class == "") == (r.Tenant == "") {
-		d.problem(r.Pos, "give one of class and tenant", "<rule> has both or neither of class and tenant")
+		report(r.Pos, "give one of class and tenant", "<rule> has both or neither of class and tenant")
 	}
 	if (r.When == "header") != (r.Name != "") {
-		d.problem(r.Pos, "give name with when=\"header\", and only there", "<rule when=%q> with name=%q", r.When, r.Name)
+		report(r.Pos, "give name with when=\"header\", and only there", "<rule when=%q> with name=%q", r.When, r.Name)
 	}
 	if r.Class != "" && s.classIndex(r.Class) < 0 {
-		d.problem(r.Pos, "name a <class>", "<rule>: %q is no class", r.Class)
+		report(r.Pos, "name a <class>", "<rule>: %q is no class", r.Class)
 	}
 	if r.Tenant != "" && s.tenantIndex(r.Tenant) < 0 {
-		d.problem(r.Pos, "name a <tenant>", "<rule>: %q is no tenant", r.Tenant)
+		report(r.Pos, "name a <tenant>", "<rule>: %q is no tenant", r.Tenant)
 	}
 }
 
-func (s *Settings) checkServers(d *decoder) {
+func (s *Settings) checkServers(report Reporter) {
 	if s.Register == nil && len(s.Servers) == 0 {
-		d.problem(s.Pos, "add <server .../> lines or a <register .../>", "no engine can be known")
+		report(s.Pos, "add <server .../> lines or a <register .../>", "no engine can be known")
 	}
 	if s.Register != nil && len(s.Servers) > 0 {
-		d.problem(s.Register.Pos, "keep one of them", "both a <register> and a static list of <server>")
+		report(s.Register.Pos, "keep one of them", "both a <register> and a static list of <server>")
 	}
 	for _, v := range s.Servers {
-		address(d, v.Pos, "address", v.Address)
+		address(report, v.Pos, "address", v.Address)
 		if s.KindIndex(v.Kind) < 0 {
-			d.problem(v.Pos, "name a <kind>", "<server name=%q>: %q is no kind", v.Name, v.Kind)
+			report(v.Pos, "name a <kind>", "<server name=%q>: %q is no kind", v.Name, v.Kind)
 		}
 	}
 	if s.Register != nil {
 		if u, err := url.Parse(s.Register.URL); err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Host == "" {
-			d.problem(s.Register.Pos, "write it like http://127.0.0.1:7000", "<register> url=%q is no http or https URL", clip(s.Register.URL))
+			report(s.Register.Pos, "write it like http://127.0.0.1:7000", "<register> url=%q is no http or https URL", clip(s.Register.URL))
 		}
 	}
 }
 
-func address(d *decoder, p Pos, name, v string) {
+func address(report Reporter, p Pos, name, v string) {
 	if _, port, err := net.SplitHostPort(v); v != "" && (err != nil || port == "") {
-		d.problem(p, "write it like 127.0.0.1:8080", "%s=%q is no host and port", name, clip(v))
+		report(p, "write it like 127.0.0.1:8080", "%s=%q is no host and port", name, clip(v))
 	}
 }
 
-func unique[T any](d *decoder, what string, list []T, of func(T) (Pos, string)) {
+func unique[T any](report Reporter, what string, list []T, of func(T) (Pos, string)) {
 	seen := map[string]int{}
 	for _, e := range list {
 		p, name := of(e)
 		if line, ok := seen[name]; ok && name != "" {
-			d.problem(p, fmt.Sprintf("rename one; the other is on line %d", line), "<%s name=%q> stands twice", what, name)
+			report(p, fmt.Sprintf("rename one; the other is on line %d", line), "<%s name=%q> stands twice", what, name)
 		}
 		seen[name] = p.Line
 	}
 }
 
-func decode(d *decoder, root *node, s *Settings) {
-	d.fill(root, reflect.ValueOf(s).Elem())
-	s.check(d)
-}
-
 // SameButRoutes tells whether two settings differ only in what a running front can take: models, rules,
 // sessions and prefixes. The error names the first element that differs elsewhere.
 func SameButRoutes(a, b *Settings) error {
--- a/internal/config/xml.go
+++ b/internal/config/xml.go
@@ -330,7 +330,10 @@
 }
 
 // Schema is the XML Schema (XSD 1.0) of the settings, made from the same structs that the checker fills.
-func Schema() []byte {
+func Schema() []byte { return SchemaOf("brackenbend", reflect.TypeFor[Settings]()) }
+
+// SchemaOf makes the schema of a struct with cfg tags.
+func SchemaOf(root string, t reflect.Type) []byte {
 	var b bytes.Buffer
 	b.WriteString(`<?xml version="1.0" encoding="UTF-8"?>
 <!-- Made by "brackenbend schema"; a test holds it against the checker. -->
@@ -340,7 +343,7 @@
   <xs:simpleType name="tokens"><xs:restriction base="xs:string"><xs:pattern value="[0-9]+(\.[0-9]+)? *tokens"/></xs:restriction></xs:simpleType>
   <xs:simpleType name="rate"><xs:restriction base="xs:string"><xs:pattern value="[0-9]+(\.[0-9]+)?/s"/></xs:restriction></xs:simpleType>
 `)
-	schemaElement(&b, "brackenbend", reflect.TypeFor[Settings](), "  ", "")
+	schemaElement(&b, root, t, "  ", "")
 	b.WriteString("</xs:schema>\n")
 	return b.Bytes()
 }
--- /dev/null
+++ b/internal/day/day.go
@@ -0,0 +1,218 @@
+// Package day plays scripted days on sockets: a register and engines (stand-ins in this process), fronts (processes
+// of their own), clients, and a list of things that go wrong. What passed on the sockets is recorded and judged by
+// internal/audit; no front is asked.
+package day
+
+import (
+	"embed"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"time"
+
+	"brackenbend/internal/config"
+)
+
+// Day is a scripted day.
+type Day struct {
+	config.Pos
+	Length   time.Duration `cfg:"length,required"`
+	Rate     config.Rate   `cfg:"rate,required"` // sessions' first requests and further turns together, a second
+	Seed     int           `cfg:"seed"`
+	Fronts   int           `cfg:"fronts,required"`
+	Dialect  string        `cfg:"dialect,enum=vllm|extended"` // of the engines; none = extended
+	Service  *Service      `cfg:"service,required"`
+	Kinds    []Kind        `cfg:"engines,required"`
+	Classes  []Class       `cfg:"class,required"`
+	Tenants  []Tenant      `cfg:"tenant"`
+	Happens  []Happening   `cfg:"happen"`
+	Expected *Expected     `cfg:"expect"`
+}
+
+// Service is what fronts and auditor are told.
+type Service struct {
+	config.Pos
+	MaxAttempts int           `cfg:"max-attempts"`
+	Release     time.Duration `cfg:"release-within,required"`
+	DrainGrace  time.Duration `cfg:"drain-grace,required"`
+	ColdFrom    float64       `cfg:"cold-from"`
+	ColdFor     time.Duration `cfg:"cold-for"`
+	Overload    float64       `cfg:"overload-factor"`
+	TipAfter    time.Duration `cfg:"tip-after"`
+	WritersRead bool          `cfg:"writers-read"`
+	CancelStops bool          `cfg:"cancel"`
+	Retries     int           `cfg:"client-retries"`
+	Broken      string        `cfg:"broken-front,enum=sends-after-drain|repeats"` // a front broken on purpose, to try the auditor
+}
+
+// Kind is a group of engines that are alike.
+type Kind struct {
+	config.Pos
+	Name      string        `cfg:"kind,required"`
+	Role      string        `cfg:"role,required,enum=reader|writer|mixed"`
+	Count     int           `cfg:"count,required"`
+	Slots     int           `cfg:"slots,required"`
+	Queue     int           `cfg:"queue,required"`
+	Memory    config.Tokens `cfg:"memory,required"`
+	ReadRate  config.Rate   `cfg:"read-rate"` // prompt tokens
+	Step      time.Duration `cfg:"step"`
+	PerStream time.Duration `cfg:"step-per-stream"`
+	FetchRate config.Rate   `cfg:"fetch-rate"` // state tokens
+}
+
+// Class is a class of requests.
+type Class struct {
+	config.Pos
+	Name       string        `cfg:"name,required"`
+	Effect     string        `cfg:"effect,required,enum=safe|keyed|unsafe"`
+	Share      float64       `cfg:"share,required"`
+	Aim        time.Duration `cfg:"aim,required"`
+	AimPer1000 time.Duration `cfg:"aim-per-1000-tokens"`
+	Deadline   time.Duration `cfg:"deadline,required"`
+	Window     time.Duration `cfg:"window"`
+	Worth      float64       `cfg:"worth"`
+	LateWorth  float64       `cfg:"late-worth"`
+	Prompt     config.Tokens `cfg:"prompt,required"`   // of a turn, on average
+	Beginning  config.Tokens `cfg:"beginning"`         // shared
+	Shared     float64       `cfg:"beginning-share"`   // part that begins with one of a few shared texts
+	Answer     config.Tokens `cfg:"answer,required"`   // on average
+	Turns      float64       `cfg:"turns"`             // of a session, on average
+	Whole      float64       `cfg:"not-streamed-part"` // of clients that want the answer whole
+}
+
+// Tenant is a customer.
+type Tenant struct {
+	config.Pos
+	Name  string      `cfg:"name,required"`
+	Share float64     `cfg:"share,required"`
+	Quota config.Rate `cfg:"quota"`
+}
+
+// Happening is something that goes wrong, or changes, for a while.
+type Happening struct {
+	config.Pos
+	At     time.Duration `cfg:"at,required"`
+	For    time.Duration `cfg:"for"`
+	What   string        `cfg:"what,required,enum=front-kill|front-stop|crash|fail-fast|fail-class|stall|slow|refuse-connects|reset-mid-stream|reset-after-request|forget|silent-restart|drain|remove|register-cut|register-late|register-flap|register-compact|register-stale|reports-frozen|reports-none|surge|overlong|hot-prefix|hang-ups|slow-readers"`
+	Kind   string        `cfg:"kind"`   // of engines; none = any
+	Class  string        `cfg:"class"`  // for fail-class and overlong
+	Count  int           `cfg:"count"`  // of engines or fronts; 0 = 1
+	Part   float64       `cfg:"part"`   // of engines, or of requests
+	Factor float64       `cfg:"factor"` // for slow, surge and overlong
+	Late   time.Duration `cfg:"late"`   // for register-late
+}
+
+// Expected bounds what a day must reach; rules must hold always.
+type Expected struct {
+	config.Pos
+	Service float64 `cfg:"service"`
+}
+
+//go:embed bad.xml
+var builtin embed.FS
+
+// Default is the bad day that the program carries.
+func Default() (*Day, error) {
+	text, err := builtin.ReadFile("bad.xml")
+	if err != nil {
+		return nil, err
+	}
+	return Parse("bad.xml", text)
+}
+
+// Load reads a day file.
+func Load(path string) (*Day, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse reads a day; the error is config.Problems.
+func Parse(file string, text []byte) (*Day, error) {
+	d := &Day{}
+	if err := config.Decode(file, text, "day", d, d.check); err != nil {
+		return nil, err
+	}
+	if d.Dialect == "" {
+		d.Dialect = "extended"
+	}
+	for i := range d.Classes {
+		c := &d.Classes[i]
+		c.Worth, c.Turns = orElse(c.Worth, 1), orElse(c.Turns, 1)
+	}
+	return d, nil
+}
+
+func orElse(v, d float64) float64 {
+	if v == 0 {
+		return d
+	}
+	return v
+}
+
+func (d *Day) check(report config.Reporter) {
+	if d.Length < time.Second || d.Length > time.Hour {
+		report(d.Pos, "write 1s to 1h", "a day of %v", d.Length)
+	}
+	if d.Rate <= 0 || d.Rate > 5000 {
+		report(d.Pos, "write a rate up to 5000/s", "a rate of %v/s", d.Rate)
+	}
+	if d.Fronts < 1 || d.Fronts > 32 {
+		report(d.Pos, "write 1 to 32", "%d fronts", d.Fronts)
+	}
+	engines, share := 0, 0.0
+	reads, writes := false, false
+	for _, k := range d.Kinds {
+		engines += k.Count
+		reads, writes = reads || k.Role != "writer", writes || k.Role != "reader"
+		if k.Role != "writer" && k.ReadRate == 0 {
+			report(k.Pos, `add read-rate="20000/s"`, "<engines kind=%q> read at no rate", k.Name)
+		}
+		if k.Role != "reader" && (k.Step == 0 || k.FetchRate == 0) {
+			report(k.Pos, `add step="20ms" and fetch-rate="200000/s"`, "<engines kind=%q> write without step or fetch-rate", k.Name)
+		}
+	}
+	if engines > 200 {
+		report(d.Pos, "lower the counts", "%d engines, 200 at most", engines)
+	}
+	if !reads || !writes {
+		report(d.Pos, "add engines of the missing role", "nothing reads, or nothing writes")
+	}
+	for _, c := range d.Classes {
+		share += c.Share
+		if (c.Effect == "keyed") != (c.Window > 0) {
+			report(c.Pos, `give window with effect="keyed", and only there`, "<class name=%q>: effect %s with a window of %v", c.Name, c.Effect, c.Window)
+		}
+	}
+	if len(d.Classes) > 0 && math.Abs(share-1) > 1e-6 {
+		report(d.Pos, "let the classes' shares add up to 1", "they add up to %v", share)
+	}
+	for _, h := range d.Happens {
+		if h.At+h.For > d.Length {
+			report(h.Pos, "begin earlier, or make the day longer", "<happen what=%q> ends after the day", h.What)
+		}
+		if h.Kind != "" && !slices.ContainsFunc(d.Kinds, func(k Kind) bool { return k.Name == h.Kind }) {
+			report(h.Pos, "name a kind of <engines>", "<happen kind=%q>: no such kind", h.Kind)
+		}
+		if h.Class != "" && !slices.ContainsFunc(d.Classes, func(c Class) bool { return c.Name == h.Class }) {
+			report(h.Pos, "name a <class>", "<happen class=%q>: no such class", h.Class)
+		}
+	}
+}
+
+// Scale makes the day last so long, everything in it in proportion.
+func (d *Day) Scale(length time.Duration) error {
+	if length < time.Second || length > time.Hour {
+		return fmt.Errorf("day: a length of %v; 1s to 1h", length)
+	}
+	f := float64(length) / float64(d.Length)
+	d.Length = length
+	for i := range d.Happens {
+		h := &d.Happens[i]
+		h.At, h.For = time.Duration(float64(h.At)*f), time.Duration(float64(h.For)*f)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/day/report.go
@@ -0,0 +1,135 @@
+package day
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"brackenbend/internal/audit"
+)
+
+// Report is what came of a day.
+type Report struct {
+	Seconds  float64         `json:"seconds"`
+	Service  float64         `json:"service"` // worth served over worth asked
+	Classes  []Row           `json:"classes"`
+	Tenants  []Row           `json:"tenants"`
+	Attempts map[string]int  `json:"attempts"` // as the engines saw them
+	Rules    []audit.Verdict `json:"rules"`
+	Expected float64         `json:"expected_service,omitempty"`
+	Events   []audit.Event   `json:"-"`
+}
+
+// Row is a tally with what follows from it.
+type Row struct {
+	tally
+	Service  float64 `json:"service"`
+	FirstP50 float64 `json:"first_token_p50_ms"`
+	FirstP99 float64 `json:"first_token_p99_ms"`
+}
+
+func row(t tally) Row {
+	r := Row{tally: t}
+	if t.Asked > 0 {
+		r.Service = t.Worth / t.Asked
+	}
+	slices.Sort(t.firsts)
+	if n := len(t.firsts); n > 0 {
+		r.FirstP50 = float64(t.firsts[n/2].Microseconds()) / 1000
+		r.FirstP99 = float64(t.firsts[n*99/100].Microseconds()) / 1000
+	}
+	return r
+}
+
+func (r *run) report(t *traffic) *Report {
+	rep := &Report{Seconds: r.d.Length.Seconds(), Attempts: map[string]int{}, Events: r.rec.Events()}
+	worth, asked := 0.0, 0.0
+	for _, c := range t.class {
+		rep.Classes = append(rep.Classes, row(c))
+		worth, asked = worth+c.Worth, asked+c.Asked
+	}
+	for _, c := range t.ten {
+		rep.Tenants = append(rep.Tenants, row(c))
+	}
+	if asked > 0 {
+		rep.Service = worth / asked
+	}
+	for _, e := range rep.Events {
+		switch {
+		case e.Kind == audit.Arrive && e.Write:
+			rep.Attempts["write"]++
+		case e.Kind == audit.Arrive:
+			rep.Attempts["read"]++
+		case e.Kind == audit.Run:
+			rep.Attempts["ran"]++
+		case e.Kind == audit.Repeat:
+			rep.Attempts["repeat dropped"]++
+		}
+	}
+	rep.Rules = audit.Judge(rep.Events, audit.Limits{DrainGrace: r.d.Service.DrainGrace, Release: r.d.Service.Release, Slack: 50 * time.Millisecond})
+	if r.d.Expected != nil {
+		rep.Expected = r.d.Expected.Service
+	}
+	return rep
+}
+
+// Breaches is the number of rules broken, counting one that was never checked and a service below what the day
+// expects.
+func (r *Report) Breaches() int {
+	n := 0
+	for _, v := range r.Rules {
+		n += len(v.Breaches)
+		if v.Checks == 0 {
+			n++
+		}
+	}
+	if r.Service < r.Expected {
+		n++
+	}
+	return n
+}
+
+// WriteText prints the report for people.
+func (r *Report) WriteText(w io.Writer) {
+	fmt.Fprintf(w, "\nservice %.3f over %.0f s\n\n", r.Service, r.Seconds)
+	head := "%-12s %8s %7s %7s %5s %8s %7s %7s %5s %5s %6s %9s %9s\n"
+	line := "%-12s %8d %7.3f %7d %5d %8d %7d %7d %5d %5d %6d %7.0fms %7.0fms\n"
+	for i, rows := range [][]Row{r.Classes, r.Tenants} {
+		fmt.Fprintf(w, head, []string{"class", "tenant"}[i], "requests", "service", "served", "late", "refused", "failed", "broken", "left", "lost", "tries", "first p50", "p99")
+		for _, c := range rows {
+			fmt.Fprintf(w, line, c.Name, c.Requests, c.Service, c.Served, c.Late, c.Refused, c.Failed, c.Broken, c.Left, c.Lost, c.Tries, c.FirstP50, c.FirstP99)
+		}
+		fmt.Fprintln(w)
+	}
+	fmt.Fprintf(w, "attempts seen by engines: %d reads, %d writes; %d took effect, %d repeats were dropped\n\n",
+		r.Attempts["read"], r.Attempts["write"], r.Attempts["ran"], r.Attempts["repeat dropped"])
+	for i, v := range r.Rules {
+		fmt.Fprintf(w, "rule %d, %s: %d checks, %d breaches", i+1, v.Rule, v.Checks, len(v.Breaches))
+		if v.Worst != "" {
+			fmt.Fprintf(w, " (%s)", v.Worst)
+		}
+		fmt.Fprintln(w)
+		for j, b := range v.Breaches {
+			if j == 10 {
+				fmt.Fprintf(w, "  ... and %d more\n", len(v.Breaches)-10)
+				break
+			}
+			fmt.Fprintf(w, "  %s\n", b)
+		}
+		if v.Checks == 0 {
+			fmt.Fprintln(w, "  never checked: this day proves nothing about it")
+		}
+	}
+	if r.Service < r.Expected {
+		fmt.Fprintf(w, "service %.3f is below the %.3f that this day expects\n", r.Service, r.Expected)
+	}
+}
+
+// WriteJSON writes the report for programs.
+func (r *Report) WriteJSON(w io.Writer) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(r)
+}
--- /dev/null
+++ b/internal/day/run.go
@@ -0,0 +1,293 @@
+package day
+
+import (
+	"context"
+	"encoding/xml"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"brackenbend/internal/audit"
+	"brackenbend/internal/standin/engine"
+	"brackenbend/internal/standin/model"
+	"brackenbend/internal/standin/register"
+)
+
+// Options say how a day is run.
+type Options struct {
+	Binary string    // brackenbend itself, for the fronts
+	Env    []string  // beside this process' environment
+	Dir    string    // for settings, lists and logs of the fronts
+	Log    io.Writer // what happens, line by line; nil = nothing
+}
+
+// run is a day under way.
+type run struct {
+	d       *Day
+	o       Options
+	rec     *audit.Record
+	reg     *register.Server
+	fronts  []*process
+	engines []*engine.Server
+	kindOf  map[*engine.Server]string
+	rnd     *rand.Rand // the script's; clients have their own
+
+	mu        sync.Mutex
+	listed    map[string]bool // engines that the register may list
+	draining  map[string]bool
+	surge     float64
+	longPart  float64
+	longBy    float64
+	longClass string
+	hot       float64
+	hangUps   float64
+	slow      float64
+	faulty    map[*engine.Server]int // faults set, so that overlapping ones end in order
+}
+
+// process is a front's process.
+type process struct {
+	name, addr, file string
+	mu               sync.Mutex
+	cmd              *exec.Cmd
+	ended            chan struct{}
+}
+
+// Run plays a day and judges it.
+func Run(ctx context.Context, d *Day, o Options) (*Report, error) {
+	r := &run{d: d, o: o, rec: audit.NewRecord(), rnd: rand.New(rand.NewPCG(uint64(d.Seed), 1)), kindOf: map[*engine.Server]string{},
+		listed: map[string]bool{}, draining: map[string]bool{}, surge: 1, faulty: map[*engine.Server]int{}}
+	defer r.close()
+	if err := r.start(); err != nil {
+		return nil, err
+	}
+	if err := r.ready(ctx); err != nil {
+		return nil, err
+	}
+	t := newTraffic(r)
+	began := time.Now()
+	script := make(chan struct{})
+	go func() { defer close(script); r.script(ctx, began) }()
+	t.play(ctx, began)
+	<-script
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	time.Sleep(d.Service.Release + 300*time.Millisecond) // states of the last requests are let go, or are breaches
+	for _, p := range r.fronts {
+		r.end(p, syscall.SIGTERM)
+	}
+	return r.report(t), nil
+}
+
+func (r *run) logf(format string, a ...any) {
+	if r.o.Log != nil {
+		fmt.Fprintf(r.o.Log, "%7.2fs  "+format+"\n", append([]any{r.rec.Now().Seconds()}, a...)...)
+	}
+}
+
+// start brings up register, engines and fronts.
+func (r *run) start() error {
+	var err error
+	if r.reg, err = register.Start("127.0.0.1:0", r.rec); err != nil {
+		return err
+	}
+	window := time.Minute
+	for _, c := range r.d.Classes {
+		window = max(window, c.Window)
+	}
+	group := &engine.Group{Window: window}
+	for _, k := range r.d.Kinds {
+		for i := range k.Count {
+			cfg := engine.Config{Name: fmt.Sprintf("%s-%d", k.Name, i+1), Kind: k.Name, Zone: "zone-1", Cell: fmt.Sprintf("cell-%d", i%2),
+				Params: r.params(&k), Plain: r.d.Dialect == "vllm", CancelStops: r.d.Service.CancelStops, Group: group, Record: r.rec, Changed: r.listEngine}
+			s, err := engine.Start(cfg, "127.0.0.1:0", false)
+			if err != nil {
+				return err
+			}
+			r.engines = append(r.engines, s)
+			r.kindOf[s] = k.Name
+		}
+	}
+	for i := range r.d.Fronts {
+		p, err := r.newFront(i)
+		if err != nil {
+			return err
+		}
+		r.fronts = append(r.fronts, p)
+		if err := r.launch(p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *run) params(k *Kind) model.Params {
+	s := r.d.Service
+	return model.Params{Reads: k.Role != "writer" || s.WritersRead, Writes: k.Role != "reader", Slots: k.Slots, Queue: k.Queue,
+		Memory: float64(k.Memory), ReadRate: max(float64(k.ReadRate), 1), Chunk: 512, Step: k.Step, StepStream: k.PerStream,
+		FetchRate: max(float64(k.FetchRate), 1), Kept: float64(k.Memory) / 2, ColdFrom: s.ColdFrom, ColdFor: s.ColdFor,
+		Overload: s.Overload, TipAfter: s.TipAfter, StateLife: 30 * time.Second}
+}
+
+// listEngine tells the register what runs; it is called when an engine's process starts or ends.
+func (r *run) listEngine(s *engine.Server) {
+	in := s.Info()
+	r.mu.Lock()
+	if _, known := r.listed[in.Name]; !known {
+		r.listed[in.Name] = true
+	}
+	show, drain := r.listed[in.Name], r.draining[in.Name]
+	r.mu.Unlock()
+	if !show {
+		r.reg.Remove(in.Name)
+		return
+	}
+	r.reg.Set(register.Entry{Name: in.Name, Kind: in.Kind, Zone: in.Zone, Cell: in.Cell, Address: in.Address, UID: in.UID,
+		Ready: in.Up, Draining: drain, Started: in.Started})
+}
+
+// newFront writes a front's settings.
+func (r *run) newFront(i int) (*process, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	addr := l.Addr().String()
+	l.Close()
+	name := fmt.Sprintf("front-%d", i+1)
+	p := &process{name: name, addr: addr, file: filepath.Join(r.o.Dir, name+".xml")}
+	return p, os.WriteFile(p.file, []byte(r.settings(p, i)), 0o644)
+}
+
+func esc(s string) string {
+	var b strings.Builder
+	_ = xml.EscapeText(&b, []byte(s))
+	return b.String()
+}
+
+func (r *run) settings(p *process, i int) string {
+	var b strings.Builder
+	s := r.d.Service
+	fmt.Fprintf(&b, "<brackenbend>\n  <front name=%q listen=%q seed=\"%d\" drain=\"10s\" answer-margin=\"150ms\"/>\n", p.name, p.addr, r.d.Seed*1000+i+1)
+	b.WriteString("  <limits open-requests=\"4096\" stall-time=\"5s\"/>\n  <log level=\"info\" lines-per-second=\"1000\"/>\n")
+	fmt.Fprintf(&b, "  <service fronts=\"%d\" max-attempts=\"%d\" max-wait=\"1s\" release-within=%q drain-grace=%q cold-from=\"%v\" cold-for=%q overload-factor=\"%v\" tip-after=%q writers-read=\"%v\" cancel=\"%v\"",
+		r.d.Fronts, s.MaxAttempts, s.Release, s.DrainGrace, s.ColdFrom, s.ColdFor, s.Overload, s.TipAfter, s.WritersRead, s.CancelStops)
+	fmt.Fprintf(&b, " default-class=%q", esc(r.d.Classes[0].Name))
+	if len(r.d.Tenants) > 0 {
+		fmt.Fprintf(&b, " default-tenant=%q", esc(r.d.Tenants[0].Name))
+	}
+	b.WriteString("/>\n")
+	for _, c := range r.d.Classes {
+		effect := c.Effect
+		if s.Broken == "repeats" { // tells its module a lie, so that it repeats orders
+			effect = "safe"
+		}
+		fmt.Fprintf(&b, "  <class name=%q effect=%q aim=%q aim-per-1000-tokens=%q deadline=%q worth=\"%v\" late-worth=\"%v\"", esc(c.Name), effect, c.Aim, c.AimPer1000, c.Deadline, c.Worth, c.LateWorth)
+		if c.Window > 0 && effect == "keyed" {
+			fmt.Fprintf(&b, " window=%q", c.Window)
+		}
+		b.WriteString("/>\n")
+		fmt.Fprintf(&b, "  <rule when=\"header\" name=\"X-Class\" equals=%q class=%q/>\n", esc(c.Name), esc(c.Name))
+	}
+	for _, t := range r.d.Tenants {
+		fmt.Fprintf(&b, "  <tenant name=%q quota=\"%v/s\" share=\"%v\"/>\n  <rule when=\"header\" name=\"X-Tenant\" equals=%q tenant=%q/>\n", esc(t.Name), float64(t.Quota), t.Share, esc(t.Name), esc(t.Name))
+	}
+	for _, k := range r.d.Kinds {
+		fmt.Fprintf(&b, "  <kind name=%q role=%q memory=\"%vtokens\"/>\n", esc(k.Name), k.Role, float64(k.Memory))
+	}
+	b.WriteString("  <model name=\"day\" bytes-per-token=\"4\" max-output=\"512tokens\"/>\n  <session from=\"header\" name=\"X-Session-Id\"/>\n  <prefix from=\"system-messages\"/>\n")
+	fmt.Fprintf(&b, "  <engines dialect=%q dial-time=\"500ms\"/>\n", r.d.Dialect)
+	fmt.Fprintf(&b, "  <register url=%q namespace=\"default\" label-selector=\"app=engines\" cache=%q/>\n</brackenbend>\n", r.reg.URL(), esc(filepath.Join(r.o.Dir, p.name+".list.json")))
+	return b.String()
+}
+
+// launch starts a front's process; its log goes to a file beside its settings.
+func (r *run) launch(p *process) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out, err := os.OpenFile(strings.TrimSuffix(p.file, ".xml")+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(r.o.Binary, "serve", "-c", p.file)
+	cmd.Env = append(os.Environ(), r.o.Env...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd, p.ended = cmd, make(chan struct{})
+	r.rec.Add(audit.Event{Kind: audit.FrontUp, Front: p.name})
+	go func(done chan struct{}) { _ = cmd.Wait(); close(done) }(p.ended)
+	return nil
+}
+
+// end signals a front's process and waits for its end.
+func (r *run) end(p *process, sig syscall.Signal) {
+	p.mu.Lock()
+	cmd, ended := p.cmd, p.ended
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	if sig == syscall.SIGKILL {
+		r.rec.Add(audit.Event{Kind: audit.FrontKill, Front: p.name})
+	}
+	_ = cmd.Process.Signal(sig)
+	select {
+	case <-ended:
+	case <-time.After(20 * time.Second):
+		r.logf("%s did not end by itself", p.name)
+		r.rec.Add(audit.Event{Kind: audit.FrontKill, Front: p.name})
+		_ = cmd.Process.Kill()
+		<-ended
+	}
+}
+
+// ready waits until every front answers.
+func (r *run) ready(ctx context.Context) error {
+	limit := time.Now().Add(30 * time.Second)
+	for _, p := range r.fronts {
+		for {
+			c, err := net.DialTimeout("tcp", p.addr, time.Second)
+			if err == nil {
+				c.Close()
+				break
+			}
+			select {
+			case <-p.ended:
+				return fmt.Errorf("day: %s ended at its start; see %s", p.name, strings.TrimSuffix(p.file, ".xml")+".log")
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(20 * time.Millisecond):
+			}
+			if time.Now().After(limit) {
+				return fmt.Errorf("day: %s does not answer", p.name)
+			}
+		}
+	}
+	time.Sleep(300 * time.Millisecond) // the first list
+	return nil
+}
+
+func (r *run) close() {
+	for _, p := range r.fronts {
+		r.end(p, syscall.SIGKILL)
+	}
+	for _, s := range r.engines {
+		s.Close()
+	}
+	if r.reg != nil {
+		r.reg.Close()
+	}
+}
--- /dev/null
+++ b/internal/day/script.go
@@ -0,0 +1,247 @@
+package day
+
+import (
+	"cmp"
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"brackenbend/internal/standin/engine"
+)
+
+// script carries out what happens, each in its time, and waits for all of it to be over.
+func (r *run) script(ctx context.Context, began time.Time) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	hs := slices.Clone(r.d.Happens)
+	slices.SortStableFunc(hs, func(a, b Happening) int { return cmp.Compare(a.At, b.At) })
+	for _, h := range hs {
+		if !sleepUntil(ctx, began.Add(h.At)) {
+			return
+		}
+		undo := r.begin(&h)
+		if undo == nil {
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			sleepUntil(ctx, began.Add(h.At+h.For))
+			undo()
+			r.logf("over: %s", h.What)
+		}()
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+// pick draws engines for a happening; those that a draw of an earlier one still holds are left out, so that
+// the fleet does not lose more than the script says.
+func (r *run) pick(h *Happening) []*engine.Server {
+	var all []*engine.Server
+	for _, s := range r.engines {
+		r.mu.Lock()
+		free := r.faulty[s] == 0 && !r.draining[s.Info().Name]
+		r.mu.Unlock()
+		if (h.Kind == "" || r.kindOf[s] == h.Kind) && s.Info().Up && free {
+			all = append(all, s)
+		}
+	}
+	n := max(h.Count, 1)
+	if h.Count == 0 && h.Part > 0 && h.What != "fail-fast" && h.What != "reset-mid-stream" && h.What != "reset-after-request" {
+		n = int(math.Ceil(h.Part * float64(len(all))))
+	}
+	r.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(n, len(all))]
+}
+
+// begin starts a happening and returns what ends it, nil when it needs no end.
+func (r *run) begin(h *Happening) (undo func()) {
+	switch h.What {
+	case "front-kill":
+		return r.frontsDown(h, syscall.SIGKILL)
+	case "front-stop":
+		return r.frontsDown(h, syscall.SIGTERM)
+	case "register-cut":
+		r.logf("register cut off for %v", h.For)
+		r.reg.Cut(true)
+		return func() { r.reg.Cut(false) }
+	case "register-late":
+		r.logf("register late by %v for %v", h.Late, h.For)
+		r.reg.SetDelay(h.Late)
+		return func() { r.reg.SetDelay(0) }
+	case "register-compact":
+		r.logf("register forgets its history")
+		r.reg.Compact()
+		return nil
+	case "surge", "overlong", "hot-prefix", "hang-ups", "slow-readers":
+		r.logf("%s for %v", h.What, h.For)
+		return r.traffic(h)
+	}
+	picked := r.pick(h)
+	var names []string
+	for _, s := range picked {
+		names = append(names, s.Info().Name)
+		r.mark(s, 1)
+	}
+	r.logf("%s for %v: %v", h.What, h.For, names)
+	var undos []func()
+	for _, s := range picked {
+		if u := r.engineFault(h, s); u != nil {
+			undos = append(undos, u)
+		}
+	}
+	return func() {
+		for _, u := range undos {
+			u()
+		}
+		for _, s := range picked {
+			r.mark(s, -1)
+		}
+	}
+}
+
+func (r *run) mark(s *engine.Server, n int) {
+	r.mu.Lock()
+	r.faulty[s] += n
+	r.mu.Unlock()
+}
+
+func (r *run) engineFault(h *Happening, s *engine.Server) func() {
+	name := s.Info().Name
+	set := func(f engine.Faults) func() {
+		s.SetFaults(f)
+		return func() { s.SetFaults(engine.Faults{}) }
+	}
+	switch h.What {
+	case "crash":
+		s.Crash()
+		return func() {
+			if err := s.Restart(); err != nil {
+				r.logf("%s does not come back: %v", name, err)
+			}
+		}
+	case "fail-fast":
+		return set(engine.Faults{FailFast: orElse(h.Part, 1)})
+	case "fail-class":
+		return set(engine.Faults{FailClass: h.Class})
+	case "stall":
+		return set(engine.Faults{Stall: true})
+	case "slow":
+		return set(engine.Faults{Slow: orElse(h.Factor, 4)})
+	case "reset-mid-stream":
+		return set(engine.Faults{ResetMid: orElse(h.Part, 1)})
+	case "reset-after-request":
+		return set(engine.Faults{ResetHead: orElse(h.Part, 1)})
+	case "reports-frozen":
+		return set(engine.Faults{Frozen: true})
+	case "reports-none":
+		return set(engine.Faults{NoReports: true})
+	case "forget":
+		s.Forget()
+	case "silent-restart":
+		s.SilentRestart()
+	case "refuse-connects":
+		s.RefuseConnects(h.For)
+	case "drain":
+		return r.listing(s, func() { r.draining[name] = true }, func() { delete(r.draining, name) })
+	case "remove":
+		return r.listing(s, func() { r.listed[name] = false }, func() { r.listed[name] = true })
+	case "register-stale":
+		undo := r.listing(s, func() { r.listed[name] = false }, func() { r.listed[name] = true })
+		r.reg.Stale(name)
+		return undo
+	case "register-flap":
+		return r.flap(h, s)
+	}
+	return nil
+}
+
+// listing changes what the register says of an engine, and back.
+func (r *run) listing(s *engine.Server, do, undo func()) func() {
+	change := func(f func()) {
+		r.mu.Lock()
+		f()
+		r.mu.Unlock()
+		r.listEngine(s)
+	}
+	change(do)
+	return func() { change(undo) }
+}
+
+// flap lets the register take an engine off and on again every 300 ms.
+func (r *run) flap(h *Happening, s *engine.Server) func() {
+	stop, done := make(chan struct{}), make(chan struct{})
+	name := s.Info().Name
+	go func() {
+		defer close(done)
+		for on := false; ; on = !on {
+			r.listing(s, func() { r.listed[name] = on }, func() {})
+			select {
+			case <-stop:
+				r.listing(s, func() { r.listed[name] = true }, func() {})
+				return
+			case <-time.After(300 * time.Millisecond):
+			}
+		}
+	}()
+	return func() { close(stop); <-done }
+}
+
+func (r *run) frontsDown(h *Happening, sig syscall.Signal) func() {
+	var down []*process
+	for _, i := range r.rnd.Perm(len(r.fronts)) {
+		p := r.fronts[i]
+		p.mu.Lock()
+		up := p.cmd != nil
+		p.mu.Unlock()
+		if up && len(down) < max(h.Count, 1) {
+			down = append(down, p)
+		}
+	}
+	var wg sync.WaitGroup
+	for _, p := range down {
+		r.logf("%s %s", h.What, p.name)
+		wg.Add(1)
+		go func() { defer wg.Done(); r.end(p, sig) }()
+	}
+	return func() {
+		wg.Wait()
+		for _, p := range down {
+			if err := r.launch(p); err != nil {
+				r.logf("%s does not start: %v", p.name, err)
+			}
+		}
+	}
+}
+
+// traffic changes what clients do.
+func (r *run) traffic(h *Happening) func() {
+	set := func(f func()) { r.mu.Lock(); f(); r.mu.Unlock() }
+	switch h.What {
+	case "surge":
+		set(func() { r.surge = orElse(h.Factor, 2) })
+		return func() { set(func() { r.surge = 1 }) }
+	case "overlong":
+		set(func() { r.longPart, r.longBy, r.longClass = orElse(h.Part, 0.02), orElse(h.Factor, 10), h.Class })
+		return func() { set(func() { r.longPart = 0 }) }
+	case "hot-prefix":
+		set(func() { r.hot = orElse(h.Part, 0.2) })
+		return func() { set(func() { r.hot = 0 }) }
+	case "hang-ups":
+		set(func() { r.hangUps = orElse(h.Part, 0.1) })
+		return func() { set(func() { r.hangUps = 0 }) }
+	}
+	set(func() { r.slow = orElse(h.Part, 0.1) })
+	return func() { set(func() { r.slow = 0 }) }
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -44,6 +44,7 @@
 	Event       int           // bytes of one event
 	Reply       int64         // bytes of an answer that is not a stream
 	Limits      http1.Limits
+	Agent       string   // User-Agent
 	Report      []string // names of load figures, in the module's order
 }
 
@@ -208,6 +209,7 @@
 	b = append(b, call.Path...)
 	b = append(b, " HTTP/1.1\r\n"...)
 	b = http1.AppendField(b, "Host", s.Address)
+	b = http1.AppendField(b, "User-Agent", c.Agent)
 	b = http1.AppendField(b, "Content-Type", "application/json")
 	b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(call.Body)))
 	b = http1.AppendField(b, FieldID, call.ID)
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -69,12 +69,15 @@
 		run: fmt.Sprintf("%x", random[8:])}
 	f.routes.Store(set.Classifier())
 	e := set.Engines
-	f.loop = newLoop(f, router, &engine.Client{Extended: e.Dialect == "extended", DialTime: e.DialTime, Connections: e.Connections,
+	f.loop = newLoop(f, router, &engine.Client{Agent: Agent(set), Extended: e.Dialect == "extended", DialTime: e.DialTime, Connections: e.Connections,
 		Idle: e.Idle, IdleTime: e.IdleTime, StreamIdle: set.Limits.StreamIdle, Event: int(set.Limits.Event),
 		Reply: int64(set.Limits.Whole), Limits: http1.Limits{Head: 64 << 10, Fields: 200}})
 	return f, nil
 }
 
+// Agent is the User-Agent of a front towards engines and the register.
+func Agent(set *config.Settings) string { return "brackenbend/" + set.Front.Name }
+
 // Deliver takes news of the list of engines. It may be called from any goroutine.
 func (f *Front) Deliver(u register.Update) { f.loop.post(item{list: &u}) }
 
--- a/internal/register/watch.go
+++ b/internal/register/watch.go
@@ -29,6 +29,7 @@
 	TokenFile string // bearer token, may be empty
 	Cache     string // file of the last list, may be empty
 	Client    *http.Client
+	Agent     string       // User-Agent
 	Deliver   func(Update) // called from Run's goroutine only
 	Log       func(msg string, err error)
 
@@ -119,6 +120,7 @@
 		return nil, err
 	}
 	req.Header.Set("Accept", "application/json")
+	req.Header.Set("User-Agent", w.Agent)
 	if w.TokenFile != "" {
 		token, err := os.ReadFile(w.TokenFile)
 		if err != nil {
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,700 @@
+// Package engine is a stand-in for an engine on a socket: it speaks vLLM's convention for disaggregated prefill
+// and the extension of docs/front.md, runs the model of internal/standin/model in real time, and breaks on
+// demand. It uses net/http, so that the front's own parsers meet an independent peer.
+package engine
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"brackenbend/internal/audit"
+	"brackenbend/internal/standin/model"
+)
+
+// Config describes a stand-in.
+type Config struct {
+	Name, Kind, Zone, Cell string
+	Params                 model.Params
+	Plain                  bool // speaks vLLM's convention only, not the extension
+	CancelStops            bool // work stops when its connection ends
+	Group                  *Group
+	Record                 *audit.Record // may be nil
+	Changed                func(*Server) // its process started or ended; may be nil
+}
+
+// Group is the set of engines that drops repeats of keyed requests.
+type Group struct {
+	Window time.Duration
+	mu     sync.Mutex
+	seen   map[string]time.Time
+}
+
+// first tells whether key was not seen within the window, and remembers it.
+func (g *Group) first(key string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.seen == nil {
+		g.seen = map[string]time.Time{}
+	}
+	for k, at := range g.seen {
+		if now.Sub(at) > g.Window {
+			delete(g.seen, k)
+		}
+	}
+	if _, ok := g.seen[key]; ok {
+		return false
+	}
+	g.seen[key] = now
+	return true
+}
+
+// Faults are what is wrong with a stand-in now; the zero value is nothing.
+type Faults struct {
+	FailFast  float64 `json:"fail_fast"`  // part of requests that fail at once
+	FailClass string  `json:"fail_class"` // of this class only
+	Stall     bool    `json:"stall"`      // takes requests and says nothing more
+	Slow      float64 `json:"slow"`       // times slower
+	ResetMid  float64 `json:"reset_mid"`  // part of streams that are reset after a few tokens
+	ResetHead float64 `json:"reset_head"` // part of requests whose connection is reset once they are read
+	Frozen    bool    `json:"frozen"`     // load reports stay as they are
+	NoReports bool    `json:"no_reports"`
+}
+
+// Server is a running stand-in.
+type Server struct {
+	cfg  Config
+	addr string
+
+	mu      sync.Mutex
+	m       *model.Engine
+	timer   *time.Timer
+	start   time.Time
+	faults  Faults
+	uid     int
+	up      bool
+	started time.Time
+	load    string
+	held    map[string]bool // states told to the record
+
+	http  *http.Server
+	lis   net.Listener
+	conns map[net.Conn]struct{}
+	peers *http.Client
+}
+
+// Start listens on addr (port 0 = any) and serves. cold tells whether its engine begins cold.
+func Start(cfg Config, addr string, cold bool) (*Server, error) {
+	s := &Server{cfg: cfg, start: time.Now(), conns: map[net.Conn]struct{}{}, held: map[string]bool{},
+		peers: &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	if s.cfg.Group == nil {
+		s.cfg.Group = &Group{Window: time.Minute}
+	}
+	s.timer = time.AfterFunc(time.Hour, s.tick)
+	if err := s.begin(addr, cold); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// begin starts the process: a new uid, an empty engine, a listener.
+func (s *Server) begin(addr string, cold bool) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.addr, s.lis, s.up = l.Addr().String(), l, true
+	s.uid++
+	s.m = model.New(s.cfg.Params, s.now(), cold)
+	s.m.SetSlow(cmp.Or(s.faults.Slow, 1))
+	s.started = time.Time{}
+	if cold {
+		s.started = time.Now()
+	}
+	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second, ConnState: s.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	h := s.http
+	s.mu.Unlock()
+	s.record(audit.Event{Kind: audit.EngineUp})
+	go func() { _ = h.Serve(l) }()
+	s.changed()
+	return nil
+}
+
+type connKey struct{}
+
+func (s *Server) connState(c net.Conn, st http.ConnState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch st {
+	case http.StateNew:
+		s.conns[c] = struct{}{}
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
+func (s *Server) record(e audit.Event) {
+	if s.cfg.Record != nil {
+		e.Engine = s.cfg.Name
+		s.cfg.Record.Add(e)
+	}
+}
+
+func (s *Server) changed() {
+	if s.cfg.Changed != nil {
+		s.cfg.Changed(s)
+	}
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.start) }
+
+// Info is what the register tells of an engine.
+type Info struct {
+	Name, Kind, Zone, Cell, Address, UID string
+	Up                                   bool
+	Started                              time.Time // zero = long ago
+}
+
+// Info describes the engine as it is.
+func (s *Server) Info() Info {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Info{s.cfg.Name, s.cfg.Kind, s.cfg.Zone, s.cfg.Cell, s.addr, fmt.Sprintf("%s-%d", s.cfg.Name, s.uid), s.up, s.started}
+}
+
+// SetFaults replaces what is wrong with the engine.
+func (s *Server) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.m.SetSlow(cmp.Or(f.Slow, 1))
+}
+
+// Forget drops the texts that the engine kept.
+func (s *Server) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m.Forget()
+}
+
+// Crash ends the process at once: connections are reset, states and texts are lost.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	if !s.up {
+		s.mu.Unlock()
+		return
+	}
+	s.up = false
+	s.lis.Close()
+	s.dropAll()
+	s.mu.Unlock()
+	s.record(audit.Event{Kind: audit.EngineOff})
+	s.changed()
+}
+
+// dropAll resets every connection and empties the engine. s.mu is held.
+func (s *Server) dropAll() {
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		c.Close()
+	}
+	s.m.Reset()
+	for id := range s.held {
+		delete(s.held, id)
+		s.record(audit.Event{Kind: audit.LetGo, Request: id})
+	}
+}
+
+// Restart starts the process again after a crash, cold, under the same address.
+func (s *Server) Restart() error {
+	s.mu.Lock()
+	up, addr := s.up, s.addr
+	s.mu.Unlock()
+	if up {
+		return errors.New("standin: it runs")
+	}
+	var err error
+	for range 50 { // the port may linger for a moment
+		if err = s.begin(addr, true); err == nil {
+			return nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return err
+}
+
+// SilentRestart loses everything as a crash does, but the register is not told and the port stays.
+func (s *Server) SilentRestart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dropAll()
+}
+
+// RefuseConnects closes the listener for d; what is connected stays.
+func (s *Server) RefuseConnects(d time.Duration) {
+	s.mu.Lock()
+	l, h, addr := s.lis, s.http, s.addr
+	s.mu.Unlock()
+	l.Close()
+	time.AfterFunc(d, func() {
+		nl, err := net.Listen("tcp", addr)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		if s.http != h || !s.up {
+			s.mu.Unlock()
+			nl.Close()
+			return
+		}
+		s.lis = nl
+		s.mu.Unlock()
+		_ = h.Serve(nl)
+	})
+}
+
+// Close ends the stand-in.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.up = false
+	s.lis.Close()
+	s.dropAll()
+	s.timer.Stop()
+	s.mu.Unlock()
+}
+
+// tick moves the model to the present. Callers that changed it call plan themselves.
+func (s *Server) tick() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.m.Advance(s.now())
+	s.plan()
+}
+
+// plan sets the timer for what is due next. s.mu is held.
+func (s *Server) plan() {
+	if at, ok := s.m.Next(); ok {
+		s.timer.Reset(max(at-s.now(), 0))
+	}
+	for id := range s.held { // expired ones
+		if !s.m.Holds(id) {
+			delete(s.held, id)
+			s.record(audit.Event{Kind: audit.LetGo, Request: id})
+		}
+	}
+	if s.m.Down() && s.up {
+		s.record(audit.Event{Kind: audit.Fell})
+		go s.Crash()
+	}
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.complete)
+	mux.HandleFunc("POST /v1/completions", s.complete)
+	mux.HandleFunc("POST /v1/brackenbend/release", s.release)
+	mux.HandleFunc("POST /standin/take", s.take)
+	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
+		var f Faults
+		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		s.SetFaults(f)
+	})
+	return mux
+}
+
+// request is the part of a body that the stand-in looks at.
+type request struct {
+	Model     string
+	Stream    bool
+	MaxTokens *int `json:"max_tokens"`
+	MaxNew    *int `json:"max_completion_tokens"`
+	Messages  []struct{ Role, Content string }
+	Prompt    string
+	Options   struct {
+		Usage bool `json:"include_usage"`
+	} `json:"stream_options"`
+	Metadata map[string]string // effect, try, class, answer (tokens): what the day's clients tell its engines
+	KV       *struct {
+		RemoteDecode  bool    `json:"do_remote_decode"`
+		RemotePrefill bool    `json:"do_remote_prefill"`
+		Host          string  `json:"remote_host"`
+		Port          int     `json:"remote_port"`
+		Request       string  `json:"remote_request_id"`
+		Tokens        float64 `json:"remote_tokens"`
+	} `json:"kv_transfer_params"`
+}
+
+// job makes the model's view of a request.
+func (q *request) job(id string) *model.Job {
+	bytes, lead, system := len(q.Prompt), 0, ""
+	first := ""
+	for i, m := range q.Messages {
+		bytes += len(m.Role) + len(m.Content)
+		if m.Role == "system" && i == 0 {
+			system, lead = m.Content, len(m.Role)+len(m.Content)
+		} else if first == "" {
+			first = m.Content
+		}
+	}
+	j := &model.Job{ID: id, Prompt: max(float64(bytes)/4, 1), Prefix: system, PrefixLen: float64(lead) / 4, Session: system + "\x00" + first, Out: 64}
+	if q.MaxTokens != nil {
+		j.Out = *q.MaxTokens
+	}
+	if q.MaxNew != nil {
+		j.Out = *q.MaxNew
+	}
+	if n, err := strconv.Atoi(q.Metadata["answer"]); err == nil && n > 0 {
+		j.Out = min(j.Out, n)
+	}
+	if q.KV != nil && q.KV.RemoteDecode {
+		j.ReadOnly = true
+	} else if q.KV != nil && q.KV.RemotePrefill {
+		j.FetchState = max(j.Prompt, 1)
+	}
+	return j
+}
+
+// turn answers that a request was turned away before it ran.
+func (s *Server) turn(w http.ResponseWriter, noState bool) {
+	if !s.cfg.Plain {
+		w.Header().Set("X-Brackenbend-Never-Ran", "1")
+		if noState {
+			w.Header().Set("X-Brackenbend-No-State", "1")
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusServiceUnavailable)
+	io.WriteString(w, `{"error":{"message":"turned away","type":"server_error","param":null,"code":null}}`)
+}
+
+func reset(w http.ResponseWriter) {
+	c, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (s *Server) complete(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	front, _ := strings.CutPrefix(r.UserAgent(), "brackenbend/")
+	body, err := io.ReadAll(io.LimitReader(r.Body, 8<<20))
+	if err != nil {
+		return
+	}
+	var q request
+	if err := json.Unmarshal(body, &q); err != nil {
+		http.Error(w, `{"error":{"message":"malformed body","type":"invalid_request_error"}}`, http.StatusBadRequest)
+		return
+	}
+	j := q.job(id)
+	s.record(audit.Event{Kind: audit.Arrive, Front: front, Request: id, Write: !j.ReadOnly, Try: q.Metadata["try"]})
+	defer s.record(audit.Event{Kind: audit.End, Request: id})
+	s.mu.Lock()
+	f := s.faults
+	s.mu.Unlock()
+	switch {
+	case f.Stall:
+		<-r.Context().Done()
+		return
+	case f.FailClass != "" && f.FailClass == q.Metadata["class"] || rand.Float64() < f.FailFast:
+		http.Error(w, `{"error":{"message":"engine fault","type":"server_error"}}`, http.StatusInternalServerError)
+		return
+	case rand.Float64() < f.ResetHead:
+		reset(w)
+		return
+	case j.ReadOnly && !s.cfg.Params.Reads || !j.ReadOnly && !s.cfg.Params.Writes:
+		s.turn(w, false)
+		return
+	case j.FetchState == 0 && !j.ReadOnly && !s.cfg.Params.Reads && s.cfg.Params.ReadRate == 0:
+		s.turn(w, true)
+		return
+	}
+	run := &run{s: s, j: j, q: &q, r: r, w: w, faults: f, wake: make(chan struct{}, 1)}
+	if j.ReadOnly {
+		run.read()
+	} else {
+		run.write()
+	}
+}
+
+// run is one request within the server.
+type run struct {
+	s      *Server
+	j      *model.Job
+	q      *request
+	r      *http.Request
+	w      http.ResponseWriter
+	faults Faults
+	wake   chan struct{}
+
+	// set under s.mu by the model's callbacks
+	begun, done, lost bool
+	tokens            int
+	kept              float64
+}
+
+func (x *run) poke() {
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+}
+
+// submit hands the job to the model; false: turned away.
+func (x *run) submit() bool {
+	x.j.Begun = func() { x.begun = true; x.poke() }
+	x.j.Token = func(n int) { x.tokens = n; x.poke() }
+	x.j.Done = func(kept float64) {
+		x.done, x.kept = true, kept
+		if x.j.ReadOnly {
+			x.s.held[x.j.ID] = true
+			x.s.record(audit.Event{Kind: audit.Held, Request: x.j.ID})
+		}
+		x.poke()
+	}
+	x.j.Lost = func() { x.lost = true; x.poke() }
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	ok := x.s.up && x.s.m.Submit(x.s.now(), x.j)
+	x.s.plan()
+	return ok
+}
+
+// cancel ends the job where the engine does so for a connection that ended.
+func (x *run) cancel() {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	if x.s.cfg.CancelStops || !x.begun {
+		x.s.m.Cancel(x.s.now(), x.j)
+		x.s.plan()
+	}
+}
+
+type snapshot struct {
+	begun, done, lost bool
+	tokens            int
+}
+
+func (x *run) look() snapshot {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	return snapshot{x.begun, x.done, x.lost, x.tokens}
+}
+
+func (x *run) read() {
+	if !x.submit() {
+		x.s.turn(x.w, false)
+		return
+	}
+	for {
+		select {
+		case <-x.r.Context().Done():
+			x.cancel()
+			return
+		case <-x.wake:
+		}
+		switch v := x.look(); {
+		case v.lost:
+			reset(x.w)
+			return
+		case v.done:
+			x.readAnswer()
+			return
+		}
+	}
+}
+
+func (x *run) readAnswer() {
+	host, port, _ := net.SplitHostPort(x.s.addr)
+	p, _ := strconv.Atoi(port)
+	x.head("application/json")
+	_ = json.NewEncoder(x.w).Encode(map[string]any{
+		"id": "cmpl-" + x.j.ID, "object": "chat.completion", "created": time.Now().Unix(), "model": x.q.Model,
+		"choices": []any{map[string]any{"index": 0, "message": map[string]any{"role": "assistant", "content": "x"}, "finish_reason": "length"}},
+		"usage": map[string]any{"prompt_tokens": int(x.j.Prompt), "completion_tokens": 1, "total_tokens": int(x.j.Prompt) + 1,
+			"prompt_tokens_details": map[string]any{"cached_tokens": int(x.kept)}},
+		"kv_transfer_params": map[string]any{"do_remote_prefill": true, "do_remote_decode": false, "remote_engine_id": x.s.cfg.Name,
+			"remote_block_ids": []int{1}, "remote_host": host, "remote_port": p, "remote_request_id": x.j.ID, "remote_tokens": x.j.Prompt},
+	})
+}
+
+// head sets what every answer carries.
+func (x *run) head(contentType string) {
+	h := x.w.Header()
+	h.Set("Content-Type", contentType)
+	s := x.s
+	s.mu.Lock()
+	util, queue, mem := s.m.Load()
+	if !s.faults.Frozen || s.load == "" {
+		s.load = fmt.Sprintf("TEXT named_metrics.util=%.3f, named_metrics.queue=%.0f, named_metrics.kv_cache_usage_perc=%.3f", util, queue, mem)
+	}
+	load, none := s.load, s.faults.NoReports
+	s.mu.Unlock()
+	if !none && x.r.Header.Get("endpoint-load-metrics-format") == "TEXT" {
+		h.Set("endpoint-load-metrics", load)
+	}
+}
+
+// fetch takes the state from the reader; false: there is none any more.
+func (x *run) fetch() bool {
+	body, _ := json.Marshal(map[string]string{"id": x.q.KV.Request})
+	url := "http://" + net.JoinHostPort(x.q.KV.Host, strconv.Itoa(x.q.KV.Port)) + "/standin/take"
+	resp, err := x.s.peers.Post(url, "application/json", bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (x *run) write() {
+	if !x.submit() {
+		x.s.turn(x.w, false)
+		return
+	}
+	wrote, fetched, sent := false, x.j.FetchState == 0, 0
+	breakAt := -1
+	if rand.Float64() < x.faults.ResetMid {
+		breakAt = 1 + rand.IntN(5)
+	}
+	ctx := x.r.Context()
+	for {
+		select {
+		case <-ctx.Done():
+			x.cancel()
+			if x.s.cfg.CancelStops {
+				return
+			}
+			ctx = context.Background() // the work goes on; nobody reads
+			continue
+		case <-x.wake:
+		}
+		v := x.look()
+		if v.lost {
+			reset(x.w)
+			return
+		}
+		if v.begun && !fetched {
+			if !x.fetch() {
+				x.s.mu.Lock()
+				x.s.m.Cancel(x.s.now(), x.j)
+				x.s.plan()
+				x.s.mu.Unlock()
+				x.s.turn(x.w, true)
+				return
+			}
+			fetched = true
+			x.poke() // tokens may have come meanwhile
+			continue
+		}
+		if v.tokens == 0 {
+			continue
+		}
+		if !wrote {
+			wrote = true
+			x.took()
+			x.head("text/event-stream")
+		}
+		for ; sent < v.tokens; sent++ {
+			if breakAt == sent {
+				reset(x.w)
+				x.cancel()
+				return
+			}
+			x.event(sent)
+		}
+		if v.done {
+			x.last()
+		}
+		_ = http.NewResponseController(x.w).Flush()
+		if v.done {
+			return
+		}
+	}
+}
+
+// took records that the request takes effect here, unless the group has seen its key.
+func (x *run) took() {
+	m := x.q.Metadata
+	if m["effect"] == "" {
+		return
+	}
+	e := audit.Event{Kind: audit.Run, Request: x.j.ID, Try: m["try"], Effect: m["effect"], Class: audit.Class(m["kind"])}
+	if key := x.r.Header.Get("Idempotency-Key"); key != "" && !x.s.cfg.Group.first(key) {
+		e.Kind = audit.Repeat
+	}
+	x.s.record(e)
+}
+
+func (x *run) event(n int) {
+	role := ""
+	if n == 0 {
+		role = `"role":"assistant",`
+	}
+	if len(x.q.Messages) == 0 {
+		fmt.Fprintf(x.w, "data: {\"id\":\"cmpl-%s\",\"object\":\"text_completion\",\"created\":1,\"model\":%q,\"choices\":[{\"index\":0,\"text\":\"w%d \",\"finish_reason\":null}]}\n\n", x.j.ID, x.q.Model, n)
+		return
+	}
+	fmt.Fprintf(x.w, "data: {\"id\":\"cmpl-%s\",\"object\":\"chat.completion.chunk\",\"created\":1,\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{%s\"content\":\"w%d \"},\"finish_reason\":null}]}\n\n", x.j.ID, x.q.Model, role, n)
+}
+
+func (x *run) last() {
+	object, field := "chat.completion.chunk", `"delta":{}`
+	if len(x.q.Messages) == 0 {
+		object, field = "text_completion", `"text":""`
+	}
+	fmt.Fprintf(x.w, "data: {\"id\":\"cmpl-%s\",\"object\":%q,\"created\":1,\"model\":%q,\"choices\":[{\"index\":0,%s,\"finish_reason\":\"stop\"}]}\n\n", x.j.ID, object, x.q.Model, field)
+	if x.q.Options.Usage {
+		fmt.Fprintf(x.w, "data: {\"id\":\"cmpl-%s\",\"object\":%q,\"created\":1,\"model\":%q,\"choices\":[],\"usage\":{\"prompt_tokens\":%d,\"completion_tokens\":%d,\"total_tokens\":%d}}\n\n",
+			x.j.ID, object, x.q.Model, int(x.j.Prompt), x.j.Out, int(x.j.Prompt)+x.j.Out)
+	}
+	io.WriteString(x.w, "data: [DONE]\n\n")
+}
+
+// give ends the holding of a state.
+func (s *Server) give(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.m.Take(s.now(), id)
+	s.plan()
+	return ok
+}
+
+func (s *Server) take(w http.ResponseWriter, r *http.Request) {
+	var q struct{ ID string }
+	if json.NewDecoder(r.Body).Decode(&q) != nil || !s.give(q.ID) {
+		http.Error(w, "no such state", http.StatusNotFound)
+	}
+}
+
+func (s *Server) release(w http.ResponseWriter, r *http.Request) {
+	var q struct {
+		ID string `json:"request_id"`
+	}
+	if s.cfg.Plain || json.NewDecoder(r.Body).Decode(&q) != nil || !s.give(q.ID) {
+		http.Error(w, `{"error":{"message":"nothing is held","type":"invalid_request_error"}}`, http.StatusNotFound)
+	}
+}
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -441,3 +441,6 @@
 	}
 	return false
 }
+
+// Holds tells whether a read state waits under this id.
+func (e *Engine) Holds(id string) bool { return e.states[id] != nil }
--- /dev/null
+++ b/internal/standin/register/register.go
@@ -0,0 +1,349 @@
+// Package register is a stand-in for the Kubernetes API server's EndpointSlices: list with pages, watch with
+// bookmarks, versions that are forgotten (410), and on demand late, cut off, flapping or stale news.
+package register
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"brackenbend/internal/audit"
+)
+
+// Entry is one engine of the list.
+type Entry struct {
+	Name, Kind, Zone, Cell, Address, UID string
+	Ready, Draining                      bool
+	Started                              time.Time // zero = not told
+}
+
+type change struct {
+	version int
+	kind    string // ADDED, MODIFIED, DELETED
+	entry   Entry
+	at      time.Time
+}
+
+// Server is the running stand-in. Every engine is a slice of its own.
+type Server struct {
+	Namespace string
+	Bookmarks time.Duration
+	Record    *audit.Record
+
+	lis  net.Listener
+	http *http.Server
+
+	mu      sync.Mutex
+	version int
+	oldest  int // versions before this one are forgotten
+	entries map[string]Entry
+	order   []string
+	versOf  map[string]int
+	known   map[string]bool // every name ever told
+	history []change
+	news    chan struct{} // closed and replaced at each change
+	delay   time.Duration
+	cut     bool
+	watches map[context.Context]context.CancelFunc
+}
+
+// Start listens on addr.
+func Start(addr string, rec *audit.Record) (*Server, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{Namespace: "default", Bookmarks: 2 * time.Second, Record: rec, lis: l, version: 1, entries: map[string]Entry{},
+		versOf: map[string]int{}, known: map[string]bool{}, news: make(chan struct{}), watches: map[context.Context]context.CancelFunc{}}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /apis/discovery.k8s.io/v1/namespaces/{ns}/endpointslices", s.serve)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.http.Serve(l) }()
+	return s, nil
+}
+
+// URL is where it answers.
+func (s *Server) URL() string { return "http://" + s.lis.Addr().String() }
+
+// Close ends it.
+func (s *Server) Close() { s.http.Close() }
+
+// Set adds or changes an entry.
+func (s *Server) Set(e Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	kind := "MODIFIED"
+	if _, ok := s.entries[e.Name]; !ok {
+		kind = "ADDED"
+		s.order = append(s.order, e.Name)
+	}
+	s.entries[e.Name] = e
+	s.known[e.Name] = true
+	s.change(kind, e)
+}
+
+// Remove takes an entry off the list.
+func (s *Server) Remove(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[name]
+	if !ok {
+		return
+	}
+	delete(s.entries, name)
+	for i, n := range s.order {
+		if n == name {
+			s.order = append(s.order[:i:i], s.order[i+1:]...)
+			break
+		}
+	}
+	s.change("DELETED", e)
+}
+
+// Entry is an entry as it stands.
+func (s *Server) Entry(name string) (Entry, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e, ok := s.entries[name]
+	return e, ok
+}
+
+// Stale sends an old event of a removed engine again, with its old version.
+func (s *Server) Stale(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.history {
+		if c.entry.Name == name && c.kind != "DELETED" {
+			s.history = append(s.history, change{c.version, c.kind, c.entry, time.Now()})
+			s.wake()
+			return
+		}
+	}
+}
+
+// change is called with s.mu held.
+func (s *Server) change(kind string, e Entry) {
+	s.version++
+	s.versOf[e.Name] = s.version
+	s.history = append(s.history, change{s.version, kind, e, time.Now()})
+	if len(s.history) > 4096 {
+		s.history = s.history[1024:]
+		s.oldest = s.history[0].version
+	}
+	s.wake()
+}
+
+func (s *Server) wake() {
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// SetDelay makes news late by d.
+func (s *Server) SetDelay(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.delay = d
+}
+
+// Cut ends all watches and, while on, answers nothing but 503.
+func (s *Server) Cut(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cut = on
+	if on {
+		for _, stop := range s.watches {
+			stop()
+		}
+	}
+}
+
+// Compact forgets all history: watches from before get 410 and must list anew.
+func (s *Server) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.oldest = s.version
+	s.history = nil
+	s.wake()
+}
+
+func (s *Server) slice(e Entry, version int) map[string]any {
+	host, port, _ := net.SplitHostPort(e.Address)
+	p, _ := strconv.Atoi(port)
+	m := map[string]any{"name": "engines-" + e.Name, "namespace": s.Namespace, "resourceVersion": strconv.Itoa(version),
+		"labels": map[string]string{"app": "engines", "brackenbend.dev/kind": e.Kind, "brackenbend.dev/cell": e.Cell}}
+	if !e.Started.IsZero() {
+		t, _ := json.Marshal(map[string]time.Time{e.Name: e.Started})
+		m["annotations"] = map[string]string{"brackenbend.dev/started": string(t)}
+	}
+	return map[string]any{"apiVersion": "discovery.k8s.io/v1", "kind": "EndpointSlice", "metadata": m, "addressType": "IPv4",
+		"ports": []any{map[string]any{"name": "http", "port": p, "protocol": "TCP"}},
+		"endpoints": []any{map[string]any{"addresses": []string{host}, "zone": e.Zone,
+			"conditions": map[string]bool{"ready": e.Ready && !e.Draining, "serving": e.Ready, "terminating": e.Draining},
+			"targetRef":  map[string]string{"kind": "Pod", "name": e.Name, "uid": e.UID}}}}
+}
+
+func status(w http.ResponseWriter, code int, reason, message string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(statusObject(code, reason, message))
+}
+
+func statusObject(code int, reason, message string) map[string]any {
+	return map[string]any{"kind": "Status", "apiVersion": "v1", "status": "Failure", "reason": reason, "code": code, "message": message}
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	front, _ := strings.CutPrefix(r.UserAgent(), "brackenbend/")
+	s.mu.Lock()
+	cut := s.cut
+	s.mu.Unlock()
+	switch {
+	case cut:
+		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+	case r.PathValue("ns") != s.Namespace:
+		status(w, http.StatusNotFound, "NotFound", "no such namespace")
+	case r.FormValue("watch") == "1" || r.FormValue("watch") == "true":
+		s.watch(w, r, front)
+	default:
+		s.list(w, r, front)
+	}
+}
+
+func (s *Server) list(w http.ResponseWriter, r *http.Request, front string) {
+	s.mu.Lock()
+	from, limit := 0, len(s.order)
+	if n, err := strconv.Atoi(r.FormValue("limit")); err == nil && n > 0 {
+		limit = n
+	}
+	version := s.version
+	if c := r.FormValue("continue"); c != "" {
+		var at int
+		if _, err := fmt.Sscanf(c, "%d-%d", &at, &from); err != nil || at != s.version {
+			s.mu.Unlock()
+			status(w, http.StatusGone, "Expired", "the list has changed")
+			return
+		}
+	}
+	items := []any{}
+	next := ""
+	for i := from; i < len(s.order); i++ {
+		if len(items) == limit {
+			next = fmt.Sprintf("%d-%d", version, i)
+			break
+		}
+		items = append(items, s.slice(s.entries[s.order[i]], s.versOf[s.order[i]]))
+	}
+	tell := map[string]bool{}
+	for name := range s.known {
+		e, ok := s.entries[name]
+		tell[name] = ok && e.Ready && !e.Draining
+	}
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"kind": "EndpointSliceList", "apiVersion": "discovery.k8s.io/v1",
+		"metadata": map[string]any{"resourceVersion": strconv.Itoa(version), "continue": next}, "items": items})
+	if next == "" {
+		for name, ready := range tell {
+			s.told(front, name, ready)
+		}
+	}
+}
+
+// told records what a front was told; the front can't know it sooner.
+func (s *Server) told(front, engine string, ready bool) {
+	if s.Record == nil {
+		return
+	}
+	k := audit.Told
+	if ready {
+		k = audit.ToldReady
+	}
+	s.Record.Add(audit.Event{Kind: k, Front: front, Engine: engine})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request, front string) {
+	from, err := strconv.Atoi(r.FormValue("resourceVersion"))
+	if err != nil {
+		status(w, http.StatusBadRequest, "BadRequest", "resourceVersion is no number")
+		return
+	}
+	ctx, stop := context.WithCancel(r.Context())
+	defer stop()
+	s.mu.Lock()
+	if from < s.oldest {
+		s.mu.Unlock()
+		status(w, http.StatusGone, "Expired", "too old resource version")
+		return
+	}
+	s.watches[ctx] = stop
+	next := len(s.history) // first event not yet looked at
+	for next > 0 && s.history[next-1].version > from {
+		next--
+	}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.watches, ctx)
+		s.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "application/json")
+	rc := http.NewResponseController(w)
+	_ = rc.Flush()
+	enc := json.NewEncoder(w)
+	bookmark := time.NewTicker(s.Bookmarks)
+	defer bookmark.Stop()
+	last := from
+	for {
+		s.mu.Lock()
+		news, delay := s.news, s.delay
+		if last < s.oldest {
+			s.mu.Unlock()
+			_ = enc.Encode(map[string]any{"type": "ERROR", "object": statusObject(410, "Expired", "too old resource version")})
+			return
+		}
+		var due []change
+		var wait <-chan time.Time
+		next = min(next, len(s.history))
+		for ; next < len(s.history); next++ {
+			if left := delay - time.Since(s.history[next].at); left > 0 {
+				wait = time.After(left)
+				break
+			}
+			due = append(due, s.history[next])
+		}
+		s.mu.Unlock()
+		for _, c := range due {
+			if enc.Encode(map[string]any{"type": c.kind, "object": s.slice(c.entry, c.version)}) != nil {
+				return
+			}
+			last = max(last, c.version)
+		}
+		if len(due) > 0 {
+			if rc.Flush() != nil {
+				return
+			}
+			for _, c := range due {
+				s.told(front, c.entry.Name, c.kind != "DELETED" && c.entry.Ready && !c.entry.Draining)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-news:
+		case <-wait:
+		case <-bookmark.C:
+			_ = enc.Encode(map[string]any{"type": "BOOKMARK", "object": map[string]any{"kind": "EndpointSlice",
+				"apiVersion": "discovery.k8s.io/v1", "metadata": map[string]any{"resourceVersion": strconv.Itoa(last)}}})
+			if rc.Flush() != nil {
+				return
+			}
+		}
+	}
+}
