Front tests: OpenAI SDK, hang-ups, stalls, drains, shutdown, malformed heads

The hard cases of the front are caused on sockets against the stand-ins, under -race and goleak: smuggling heads, a byte at a time, pipelining, a client that stops reading (heap grows under 8 MiB), a reader that dies while its state waits, a drain told between decision and first byte, a refusal racing a first token and a hang-up 2,000 times (one answer each), 9,000 idle connections. The OpenAI SDK reads streams, whole answers and errors and does not repeat a failed order.

--- /dev/null
+++ b/internal/front/front_test.go
@@ -0,0 +1,529 @@
+package front
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"brackenbend/choice"
+	"brackenbend/internal/config"
+	"brackenbend/internal/engine"
+	"brackenbend/internal/obs"
+	"brackenbend/internal/register"
+	standin "brackenbend/internal/standin/engine"
+	"brackenbend/internal/standin/model"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func params(role string) model.Params {
+	return model.Params{Reads: true, Writes: role != "reader", Slots: 64, Queue: 32, Memory: 200000, ReadRate: 50000, Chunk: 512,
+		Step: 2 * time.Millisecond, FetchRate: 1e6, Kept: 100000, StateLife: 30 * time.Second}
+}
+
+// rig is a front with stand-in engines.
+type rig struct {
+	t       *testing.T
+	f       *Front
+	addr    string
+	engines map[string]*standin.Server
+	list    []register.Engine
+	logs    *bytes.Buffer
+	served  chan error
+}
+
+const settings = `<brackenbend>
+  <front name="t" listen="127.0.0.1:0" drain="5s" answer-margin="100ms"/>
+  <limits %s/>
+  <service fronts="1" max-attempts="6" release-within="500ms" writers-read="true" cancel="true" default-class="ask"/>
+  <class name="ask" effect="safe" aim="5s" deadline="10s" late-worth="0.5"/>
+  <class name="quick" effect="unsafe" aim="1s" deadline="1s"/>
+  <class name="order" effect="unsafe" aim="5s" deadline="10s"/>
+  <class name="book" effect="keyed" window="30s" aim="5s" deadline="10s"/>
+  <kind name="reader" role="reader" memory="200000tokens"/>
+  <kind name="writer" role="writer" memory="200000tokens"/>
+  <model name="m" bytes-per-token="4" max-output="64tokens"/>
+  <rule when="header" name="X-Class" equals="quick" class="quick"/>
+  <rule when="header" name="X-Class" equals="order" class="order"/>
+  <rule when="header" name="X-Class" equals="book" class="book"/>
+  <prefix from="system-messages"/>
+  <engines dialect="extended" dial-time="1s"/>
+  <server name="unused" kind="reader" address="127.0.0.1:1"/>
+</brackenbend>`
+
+func newRig(t *testing.T, limits string, roles ...string) *rig {
+	t.Helper()
+	set, err := config.Parse("test.xml", fmt.Appendf(nil, settings, limits))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{t: t, engines: map[string]*standin.Server{}, logs: &bytes.Buffer{}, served: make(chan error, 1)}
+	if r.f, err = New(set, zap.NewNop(), obs.NewMetrics()); err != nil {
+		t.Fatal(err)
+	}
+	for i, role := range roles {
+		name := fmt.Sprintf("%s-%d", role, i)
+		s, err := standin.Start(standin.Config{Name: name, Kind: role, Params: params(role), CancelStops: true}, "127.0.0.1:0", false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.engines[name] = s
+		r.list = append(r.list, register.Engine{Name: name, Kind: role, Address: s.Info().Address, State: choice.Ready})
+	}
+	r.f.Deliver(register.Update{Scope: choice.Full, Engines: r.list})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = l.Addr().String()
+	go func() { r.served <- r.f.Serve(l) }()
+	t.Cleanup(func() {
+		ctx, stop := context.WithTimeout(context.Background(), 3*time.Second)
+		defer stop()
+		r.f.Shutdown(ctx)
+		if err := <-r.served; err != nil {
+			t.Error(err)
+		}
+		for _, s := range r.engines {
+			s.Close()
+		}
+		http.DefaultClient.CloseIdleConnections()
+	})
+	return r
+}
+
+func (r *rig) post(class, body string) (*http.Response, string) {
+	r.t.Helper()
+	req, _ := http.NewRequest("POST", "http://"+r.addr+"/v1/chat/completions", strings.NewReader(body))
+	req.Header.Set("X-Class", class)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.t.Fatalf("%v after %q", err, text)
+	}
+	return resp, string(text)
+}
+
+func chat(stream bool, tokens int) string {
+	return fmt.Sprintf(`{"model":"m","stream":%v,"max_tokens":%d,"messages":[{"role":"system","content":"You help."},{"role":"user","content":"hello there"}]}`, stream, tokens)
+}
+
+func TestStreamAndWholeThroughTwoStages(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	resp, text := r.post("ask", chat(true, 5))
+	if resp.StatusCode != 200 || strings.Count(text, "data: ") != 7 || !strings.HasSuffix(text, "data: [DONE]\n\n") {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	resp, text = r.post("ask", chat(false, 5))
+	if resp.StatusCode != 200 || !strings.Contains(text, `"content":"w0 w1 w2 w3 w4 "`) || !strings.Contains(text, `"completion_tokens":5`) {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	if resp, text := r.post("book", chat(true, 5)); resp.StatusCode != 400 || !strings.Contains(text, "idempotency_key_missing") {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	for body, status := range map[string]int{`{`: 400, `{"model":"x","messages":[{"role":"user","content":"a"}]}`: 404} {
+		if resp, text := r.post("ask", body); resp.StatusCode != status || !strings.Contains(text, `"error":{"message":`) {
+			t.Errorf("%s: %d %q", body, resp.StatusCode, text)
+		}
+	}
+}
+
+// TestOpenAISDK: the published SDK is an independent peer for requests, streams and errors.
+func TestOpenAISDK(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	c := openai.NewClient(option.WithBaseURL("http://"+r.addr+"/v1"), option.WithAPIKey("k"), option.WithMaxRetries(0))
+	p := openai.ChatCompletionNewParams{Model: "m", MaxCompletionTokens: openai.Int(4),
+		Messages: []openai.ChatCompletionMessageParamUnion{openai.SystemMessage("You help."), openai.UserMessage("hello")}}
+	whole, err := c.Chat.Completions.New(t.Context(), p)
+	if err != nil || whole.Choices[0].Message.Content != "w0 w1 w2 w3 " || whole.Usage.CompletionTokens != 4 || whole.Choices[0].FinishReason != "stop" {
+		t.Fatalf("%+v %v", whole, err)
+	}
+	stream := c.Chat.Completions.NewStreaming(t.Context(), p)
+	got := ""
+	for stream.Next() {
+		for _, ch := range stream.Current().Choices {
+			got += ch.Delta.Content
+		}
+	}
+	if stream.Err() != nil || got != "w0 w1 w2 w3 " {
+		t.Fatalf("%q %v", got, stream.Err())
+	}
+	old, err := c.Completions.New(t.Context(), openai.CompletionNewParams{Model: "m", MaxTokens: openai.Int(3),
+		Prompt: openai.CompletionNewParamsPromptUnion{OfString: openai.String("hello")}})
+	if err != nil || old.Choices[0].Text != "w0 w1 w2 " {
+		t.Fatalf("%+v %v", old, err)
+	}
+	models, err := c.Models.List(t.Context())
+	if err != nil || models.Data[0].ID != "m" {
+		t.Fatalf("%+v %v", models, err)
+	}
+	p.Model = "none"
+	var apiErr *openai.Error
+	if _, err = c.Chat.Completions.New(t.Context(), p); !errors.As(err, &apiErr) || apiErr.StatusCode != 404 || apiErr.Code != "model_not_found" {
+		t.Fatalf("%v", err)
+	}
+	// a stream that breaks is an error to the SDK, not an end
+	for name, e := range r.engines {
+		if strings.HasPrefix(name, "writer") {
+			e.SetFaults(standin.Faults{ResetMid: 1})
+		}
+	}
+	p.Model, p.MaxCompletionTokens = "m", openai.Int(50)
+	stream = c.Chat.Completions.NewStreaming(t.Context(), p)
+	for stream.Next() {
+	}
+	if stream.Err() == nil || !strings.Contains(stream.Err().Error(), "stream broke") {
+		t.Fatalf("broken stream: %v", stream.Err())
+	}
+}
+
+// TestSDKIsToldNotToRepeatWhatMayHaveRun: a failed order makes one attempt, though the SDK retries 5xx by itself.
+func TestSDKIsToldNotToRepeatWhatMayHaveRun(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	for name, e := range r.engines {
+		if strings.HasPrefix(name, "writer") {
+			e.SetFaults(standin.Faults{FailFast: 1})
+		}
+	}
+	requests := 0
+	count := option.WithMiddleware(func(q *http.Request, next option.MiddlewareNext) (*http.Response, error) { requests++; return next(q) })
+	c := openai.NewClient(option.WithBaseURL("http://"+r.addr+"/v1"), option.WithAPIKey("k"), option.WithHeader("X-Class", "order"), count)
+	_, err := c.Chat.Completions.New(t.Context(), openai.ChatCompletionNewParams{Model: "m", Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("order")}})
+	var apiErr *openai.Error
+	if !errors.As(err, &apiErr) || apiErr.StatusCode != 502 || requests != 1 {
+		t.Fatalf("%d requests, %v", requests, err)
+	}
+}
+
+// TestRefusalTellsTheWait: without a writer everything is refused, which the SDK may repeat.
+func TestRefusalTellsTheWait(t *testing.T) {
+	r := newRig(t, "", "reader")
+	resp, text := r.post("quick", chat(true, 5))
+	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("retry-after-ms") == "" || resp.Header.Get("x-should-retry") != "" {
+		t.Errorf("%d %v %q", resp.StatusCode, resp.Header, text)
+	}
+}
+
+// raw sends bytes as they are and returns all that comes back until the connection ends.
+func (r *rig) raw(parts ...string) string {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	defer c.Close()
+	for _, p := range parts {
+		if _, err := io.WriteString(c, p); err != nil {
+			break
+		}
+	}
+	_ = c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	text, _ := io.ReadAll(c)
+	return string(text)
+}
+
+func request(body, more string) string {
+	return fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\n%sContent-Length: %d\r\n\r\n%s", more, len(body), body)
+}
+
+func TestMalformedIsRefusedAndClosed(t *testing.T) {
+	r := newRig(t, `head="2KiB" body="1KiB" head-time="200ms" body-time="200ms"`, "reader", "writer")
+	for name, c := range map[string]struct{ send, status string }{
+		"smuggling: two lengths":        {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\n{}", "400"},
+		"smuggling: length and chunked": {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400"},
+		"bare LF":                       {"GET /v1/models HTTP/1.1\nHost: a\n\n", "400"},
+		"head too large":                {"GET / HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n", "431"},
+		"body too large":                {request(strings.Repeat("x", 2000), ""), "413"},
+		"chunked body too large":        {"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("x", 2048) + "\r\n0\r\n\r\n", "413"},
+		"body cut":                      {strings.TrimSuffix(request(chat(true, 2), "Connection: close\r\n"), "]}"), "408"},
+		"head that never ends":          {"GET /v1/models HTTP/1.1\r\n", "408"},
+	} {
+		got := r.raw(c.send)
+		if !strings.HasPrefix(got, "HTTP/1.1 "+c.status) || strings.Count(got, "HTTP/1.1 ") != 1 {
+			t.Errorf("%s: %.200q", name, got)
+		}
+	}
+}
+
+func TestPipelinedByteAtATimeAndContinue(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	two := request(chat(true, 3), "") + request(chat(true, 4), "Connection: close\r\n")
+	got := r.raw(two)
+	if strings.Count(got, "HTTP/1.1 200") != 2 || strings.Count(got, "[DONE]") != 2 || strings.Index(got, "w3") < strings.Index(got, "[DONE]") {
+		t.Errorf("pipelined: %q", got)
+	}
+	if got := r.raw(strings.Split(request(chat(true, 3), "Connection: close\r\n"), "")...); strings.Count(got, "[DONE]") != 1 {
+		t.Errorf("a byte at a time: %q", got)
+	}
+	if got := r.raw(request(chat(true, 1), "Connection: close\r\nExpect: 100-continue\r\n")); !strings.HasPrefix(got, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200") {
+		t.Errorf("continue: %q", got)
+	}
+	old := strings.Replace(request(chat(true, 3), ""), "HTTP/1.1", "HTTP/1.0", 1)
+	if got := r.raw(old); strings.Contains(got, "chunked") || !strings.HasSuffix(got, "data: [DONE]\n\n") {
+		t.Errorf("HTTP/1.0: %q", got)
+	}
+}
+
+// TestHangUpLetsTheEngineGo: the client leaves while an engine has the request.
+func TestHangUpLetsTheEngineGo(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	for _, phase := range []string{"waiting", "streaming"} {
+		for name, e := range r.engines {
+			e.SetFaults(standin.Faults{Stall: phase == "waiting" && strings.HasPrefix(name, "reader")})
+		}
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, request(chat(true, 100000), "X-Class: order\r\n"))
+		if phase == "streaming" {
+			if _, err := bufio.NewReader(c).ReadString('}'); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.eventually("the request is open", func() bool { return r.f.open.Load() == 1 })
+		c.Close()
+		r.eventually(phase+": the request is over", func() bool { return r.f.open.Load() == 0 })
+		r.eventually(phase+": no engine works on it", func() bool {
+			for _, e := range r.engines {
+				if e.Working() > 0 {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
+func (r *rig) eventually(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("not in 20 s: %s", what)
+		}
+	}
+}
+
+// TestClientThatStopsReading: memory stays bounded and the engine is let go.
+func TestClientThatStopsReading(t *testing.T) {
+	r := newRig(t, `stall-time="300ms"`, "reader", "writer")
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.(*net.TCPConn).SetReadBuffer(4096)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	io.WriteString(c, request(chat(true, 10_000_000), ""))
+	for _, e := range r.engines {
+		e.Flood(true) // tokens as fast as the sockets take them
+	}
+	r.eventually("the stream is open", func() bool { return r.f.open.Load() == 1 })
+	r.eventually("the stalled client is given up", func() bool { return r.f.open.Load() == 0 })
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > 8<<20 {
+		t.Errorf("the heap grew by %d bytes", grown)
+	}
+}
+
+// TestReaderDiesWhileItsStateWaits: the writer finds no state; the prompt is read anew elsewhere.
+func TestReaderDiesWhileItsStateWaits(t *testing.T) {
+	r := newRig(t, "", "reader", "reader", "writer")
+	for _, e := range r.engines {
+		e.BeforeTake(func() { // whoever is asked for a state dies at that moment, once
+			if e.Info().Up && r.upReaders() == 2 {
+				e.Crash()
+			}
+		})
+	}
+	resp, text := r.post("order", chat(true, 3))
+	if resp.StatusCode != 200 || !strings.Contains(text, "[DONE]") {
+		t.Fatalf("%d %q", resp.StatusCode, text)
+	}
+	if r.upReaders() != 1 {
+		t.Fatalf("%d readers are up; the fault was not caused", r.upReaders())
+	}
+}
+
+func (r *rig) upReaders() (n int) {
+	for name, e := range r.engines {
+		if strings.HasPrefix(name, "reader") && e.Info().Up {
+			n++
+		}
+	}
+	return n
+}
+
+// TestDeadlineOutcomeAndHangUpAtOnce: whatever comes first, there is one answer and the flight ends.
+func TestDeadlineOutcomeAndHangUpAtOnce(t *testing.T) {
+	for range 2000 {
+		a, b := net.Pipe()
+		f := &Front{set: &config.Settings{Limits: &config.Limits{StallTime: time.Second}}}
+		fl := &flight{to: newClient(f, a), class: &choice.Class{}, done: make(chan struct{}), chunks: true, taken: time.Now()}
+		att := &attempt{fl: fl, srv: &engine.Server{}, post: func(item) {}}
+		go io.Copy(io.Discard, b)
+		var wg sync.WaitGroup
+		var won [3]bool
+		start := make(chan struct{})
+		for i, act := range []func() bool{
+			func() bool { return fl.finish(refusal(time.Second)) },
+			att.Begin,
+			func() bool { return fl.state.CompareAndSwap(open, gone) },
+		} {
+			wg.Add(1)
+			go func() { defer wg.Done(); <-start; won[i] = act() }()
+		}
+		close(start)
+		wg.Wait()
+		n := 0
+		for _, w := range won {
+			if w {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Fatalf("%d of a refusal, a first token and a hang-up won: %v", n, won)
+		}
+		a.Close()
+		b.Close()
+	}
+}
+
+func TestShutdownAnswersWhatItHolds(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	got := make(chan string, 1)
+	go func() { got <- r.raw(request(chat(true, 200), "")) }()
+	r.eventually("the request is open", func() bool { return r.f.open.Load() == 1 })
+	idle, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer idle.Close()
+	r.f.Shutdown(t.Context())
+	if text := <-got; !strings.Contains(text, "[DONE]") {
+		t.Errorf("%q", text)
+	}
+	if _, err := net.Dial("tcp", r.addr); err == nil {
+		t.Error("it still accepts")
+	}
+}
+
+func TestShutdownFailsWhatTakesTooLong(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	for _, e := range r.engines {
+		e.SetFaults(standin.Faults{Stall: true})
+	}
+	got := make(chan string, 1)
+	go func() { got <- r.raw(request(chat(true, 200), "X-Class: order\r\n")) }()
+	r.eventually("the request is open", func() bool { return r.f.open.Load() == 1 })
+	ctx, stop := context.WithCancel(t.Context())
+	stop()
+	r.f.Shutdown(ctx)
+	if text := <-got; !strings.HasPrefix(text, "HTTP/1.1 502") || !strings.Contains(text, "x-should-retry: false") || strings.Count(text, "HTTP/1.1") != 1 {
+		t.Errorf("%q", text)
+	}
+}
+
+func TestOverTheBoundIsRefusedBeforeItIsTaken(t *testing.T) {
+	r := newRig(t, `open-requests="1" connections="3"`, "reader", "writer")
+	c, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	io.WriteString(c, request(chat(true, 100000), ""))
+	r.eventually("the request is open", func() bool { return r.f.open.Load() == 1 })
+	if resp, text := r.post("ask", chat(true, 1)); resp.StatusCode != 503 || resp.Header.Get("Retry-After") != "1" {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	http.DefaultClient.CloseIdleConnections()
+	var more []net.Conn
+	for range 5 {
+		k, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		more = append(more, k)
+	}
+	_ = more[4].SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, err := more[4].Read(make([]byte, 1)); err == nil || errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("a connection over the bound stays: %v", err)
+	}
+	for _, k := range more {
+		k.Close()
+	}
+}
+
+// TestDrainStopsWhatWasDecided: news of a drain comes after the decision; the send must not go out.
+func TestDrainStopsWhatWasDecided(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	var told sync.Once
+	for name, e := range r.engines {
+		if strings.HasPrefix(name, "reader") {
+			e.BeforeTake(func() {})
+			e.AfterRead(func() { // the read is done, the writer is chosen next; it drains now
+				told.Do(func() {
+					for i := range r.list {
+						if strings.HasPrefix(r.list[i].Name, "writer") {
+							r.list[i].State = choice.Draining
+						}
+					}
+					r.f.Deliver(register.Update{Scope: choice.Full, Engines: r.list})
+				})
+			})
+		}
+	}
+	resp, text := r.post("quick", chat(true, 3))
+	if resp.StatusCode != 429 {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	for name, e := range r.engines {
+		if n := e.Arrivals(); strings.HasPrefix(name, "writer") && n != 0 {
+			t.Errorf("%d requests reached a draining writer", n)
+		}
+		r.eventually("no state is left", func() bool { return e.States() == 0 })
+	}
+}
+
+func TestThousandsOfIdleConnections(t *testing.T) {
+	const n = 9000 // both ends are here, and an ordinary user may hold 20,000 descriptors
+	r := newRig(t, "", "reader", "writer")
+	conns := make([]net.Conn, 0, n)
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for range n {
+		c, err := net.Dial("tcp", r.addr)
+		if err != nil {
+			t.Skipf("%d connections, then: %v", len(conns), err)
+		}
+		conns = append(conns, c)
+	}
+	if resp, _ := r.post("ask", chat(true, 3)); resp.StatusCode != 200 {
+		t.Errorf("beside %d idle connections: %d", n, resp.StatusCode)
+	}
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -89,6 +89,11 @@
 	load    string
 	held    map[string]bool // states told to the record
 
+	flood      bool
+	beforeTake func()
+	afterRead  func()
+	arrivals   int
+
 	http  *http.Server
 	lis   net.Listener
 	conns map[net.Conn]struct{}
@@ -184,6 +189,48 @@
 	s.m.SetSlow(cmp.Or(f.Slow, 1))
 }
 
+// Flood lets streams write without end, as fast as their connection takes it.
+func (s *Server) Flood(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.flood = on
+}
+
+// BeforeTake is called when a state is asked for, before it is handed over.
+func (s *Server) BeforeTake(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.beforeTake = f
+}
+
+// AfterRead is called when a read has ended, before it is answered.
+func (s *Server) AfterRead(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.afterRead = f
+}
+
+// Working is the number of requests that wait or run.
+func (s *Server) Working() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.Working()
+}
+
+// States is the number of read states held.
+func (s *Server) States() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.m.States()
+}
+
+// Arrivals is the number of reads and writes that ever reached the engine.
+func (s *Server) Arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrivals
+}
+
 // Forget drops the texts that the engine kept.
 func (s *Server) Forget() {
 	s.mu.Lock()
@@ -414,6 +461,7 @@
 	defer s.record(audit.Event{Kind: audit.End, Request: id})
 	s.mu.Lock()
 	f := s.faults
+	s.arrivals++
 	s.mu.Unlock()
 	switch {
 	case f.Stall:
@@ -493,6 +541,12 @@
 	}
 }
 
+func (x *run) flooding() bool {
+	x.s.mu.Lock()
+	defer x.s.mu.Unlock()
+	return x.s.flood
+}
+
 type snapshot struct {
 	begun, done, lost bool
 	tokens            int
@@ -521,6 +575,12 @@
 			reset(x.w)
 			return
 		case v.done:
+			x.s.mu.Lock()
+			hook := x.s.afterRead
+			x.s.mu.Unlock()
+			if hook != nil {
+				hook()
+			}
 			x.readAnswer()
 			return
 		}
@@ -626,6 +686,12 @@
 			}
 			x.event(sent)
 		}
+		for x.flooding() {
+			x.event(sent)
+			if x.r.Context().Err() != nil {
+				break
+			}
+		}
 		if v.done {
 			x.last()
 		}
@@ -684,6 +750,12 @@
 }
 
 func (s *Server) take(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	hook := s.beforeTake
+	s.mu.Unlock()
+	if hook != nil {
+		hook()
+	}
 	var q struct{ ID string }
 	if json.NewDecoder(r.Body).Decode(&q) != nil || !s.give(q.ID) {
 		http.Error(w, "no such state", http.StatusNotFound)
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -444,3 +444,6 @@
 
 // Holds tells whether a read state waits under this id.
 func (e *Engine) Holds(id string) bool { return e.states[id] != nil }
+
+// Working is the number of jobs that wait or run.
+func (e *Engine) Working() int { return len(e.queue) + len(e.running) }
