--- a/choice/choice.go
+++ b/choice/choice.go
@@ -476,7 +476,7 @@
 			if r.released++; q.starved {
 				r.released = 0
 			}
-			if r.stale = r.stale || r.roles[Mixed].listed > 0; r.stale && !again { // those behind it after all
+			if r.stale = r.stale || r.roles[Mixed].listed > 0; r.stale && !again { // then those behind it
 				again = true
 				r.todo, i = append(r.todo[:0], r.behind(q, first)...), -1
 			}
