Relay what is here in one write; buffers only while a stream moves; bodies without a map encoder

The relay now gathers what is buffered, waits without a buffer, sets deadlines at most eight times a period, and bodies are written without encoding/json's map walk.

--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -25,6 +25,9 @@
 	if os.Getenv("BRACKENBEND_TEST_MAIN") == "1" {
 		os.Exit(run(os.Args[1:]))
 	}
+	if listen, engines, ok := strings.Cut(os.Getenv("BRACKENBEND_TEST_PROXY"), " "); ok {
+		os.Exit(proxyMain(listen, engines))
+	}
 	os.Exit(m.Run())
 }
 
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -301,28 +302,43 @@
 
 // with writes the body with some fields set and some left out; the others stay to the byte.
 func (r *Request) with(set map[string]string, drop ...string) []byte {
-	out := make(map[string]json.RawMessage, len(r.fields)+len(set))
-	for k, v := range r.fields {
-		out[k] = v
+	if _, ok := r.fields["max_completion_tokens"]; ok && set["max_tokens"] != "" && r.fields["max_tokens"] == nil {
+		set["max_completion_tokens"] = set["max_tokens"]
+		delete(set, "max_tokens")
 	}
-	for _, k := range drop {
-		if _, ok := out[k]; ok {
-			delete(out, k)
-		}
+	size := 64
+	for k, v := range r.fields {
+		size += len(k) + len(v) + 4
 	}
 	for k, v := range set {
-		if _, ok := r.fields["max_completion_tokens"]; ok && k == "max_tokens" && r.fields["max_tokens"] == nil {
-			k = "max_completion_tokens"
+		size += len(k) + len(v) + 4
+	}
+	b := append(make([]byte, 0, size), '{')
+	for k, v := range r.fields {
+		if _, ok := set[k]; !ok && !slices.Contains(drop, k) {
+			b = appendField(b, k, string(v))
 		}
-		out[k] = json.RawMessage(v)
 	}
-	b, err := json.Marshal(out)
-	if err != nil { // every value was parsed before, or is one of the constants here
-		panic(err)
+	for k, v := range set {
+		b = appendField(b, k, v)
 	}
+	b[len(b)-1] = '}' // in place of the last comma; at least one field is set
 	return b
 }
 
+func appendField(b []byte, name, value string) []byte {
+	if strings.ContainsFunc(name, func(c rune) bool { return c < ' ' || c > '~' || c == '"' || c == '\\' }) {
+		quoted, err := json.Marshal(name)
+		if err != nil { // strings always marshal
+			panic(err)
+		}
+		b = append(b, quoted...)
+	} else {
+		b = append(append(append(b, '"'), name...), '"')
+	}
+	return append(append(append(b, ':'), value...), ',')
+}
+
 // ReadReply takes a reader's whole answer.
 type ReadReply struct {
 	KV     json.RawMessage // kv_transfer_params, nil when it gave none
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -269,8 +269,8 @@
 }
 
 // relayBuf bounds what a stream holds between its two sockets in the usual case; only an event that is larger
-// makes it grow, up to Client.Event.
-const relayBuf = 4096
+// makes it grow, up to Client.Event. While a stream waits it holds no buffer.
+const relayBuf = 8192
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, relayBuf); return &b }}
 
@@ -300,23 +300,42 @@
 
 // relay passes events on until the stream's end. It allocates nothing for an event that fits its buffer.
 func (c *Client) relay(a *Attempt, k *conn, body *http1.Body, sink Sink) Outcome {
-	pooled := buffers.Get().(*[]byte)
-	defer buffers.Put(pooled)
-	buf, have := *pooled, 0
+	var pooled *[]byte
+	var buf []byte
+	have := 0
+	free := func() {
+		if pooled != nil {
+			buffers.Put(pooled)
+			pooled, buf = nil, nil
+		}
+	}
+	defer free()
+	var quietFrom time.Time
 	for {
+		if now := time.Now(); a.begun && now.Sub(quietFrom) > c.StreamIdle/8 {
+			quietFrom = now
+			if err := k.SetReadDeadline(now.Add(c.StreamIdle)); err != nil {
+				return a.ended(err)
+			}
+		}
+		if have == 0 {
+			free()
+			body.Wait()
+			pooled = buffers.Get().(*[]byte)
+			buf = *pooled
+		}
 		if have == len(buf) {
 			if len(buf) >= c.Event {
 				return Outcome{Result: choice.Errored, Err: fmt.Errorf("engine: an event of over %d bytes", c.Event)}
 			}
 			buf = append(buf, make([]byte, len(buf))...) // leaves the pooled one as it was
 		}
-		if a.begun {
-			if err := k.SetReadDeadline(time.Now().Add(c.StreamIdle)); err != nil {
-				return a.ended(err)
-			}
-		}
 		n, err := body.Read(buf[have:])
 		have += n
+		for err == nil && have < len(buf) && body.Ready() { // what is here already goes out in one write
+			n, err = body.Read(buf[have:])
+			have += n
+		}
 		from, end, out := a.scan(buf[:have], sink)
 		if end > from {
 			if err := sink.Events(buf[from:end]); err != nil {
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -29,12 +29,13 @@
 	br   *bufio.Reader
 	idle atomic.Bool // between requests
 	fl   atomic.Pointer[flight]
+	sent time.Time // when the write deadline was last set; by whoever writes
 }
 
 var past = time.Unix(1, 0)
 
 func newClient(f *Front, nc net.Conn) *client {
-	return &client{f: f, nc: nc, br: bufio.NewReaderSize(nc, 4096)}
+	return &client{f: f, nc: nc, br: bufio.NewReaderSize(nc, 2048)}
 }
 
 // kick ends the goroutine's wait in a read. Callers close the flight's done right after.
@@ -62,10 +63,15 @@
 	c.nc.Close()
 }
 
-// write writes within the time that a client may take nothing.
+// write writes within the time that a client may take nothing, or an eighth less: the deadline is not set anew
+// for every token.
 func (c *client) write(b []byte) error {
-	if err := c.nc.SetWriteDeadline(time.Now().Add(c.f.set.Limits.StallTime)); err != nil {
-		return err
+	stall := c.f.set.Limits.StallTime
+	if now := time.Now(); now.Sub(c.sent) > stall/8 {
+		if err := c.nc.SetWriteDeadline(now.Add(stall)); err != nil {
+			return err
+		}
+		c.sent = now
 	}
 	_, err := c.nc.Write(b)
 	return err
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -129,8 +129,9 @@
 	released bool // by the loop
 	owns     bool // the client's answer; set by Begin
 	post     func(item)
-	out      []byte // the frame being written
-	broken   error  // the client can't be written to
+	out      []byte // the frame being written, in frameBuf
+	frameBuf *[]byte
+	broken   error // the client can't be written to
 
 	resultMu sync.Mutex
 	result   string
@@ -206,7 +207,8 @@
 func (a *attempt) endStream(out *engine.Outcome) {
 	fl := a.fl
 	fl.result = "served"
-	b := a.out[:0]
+	a.takeFrame()
+	b := a.out // with the head, where no event followed it
 	if out.Result != choice.Served {
 		fl.result = "broken"
 		e := &api.Error{Type: "server_error", Code: "stream_broken", Message: "the stream broke; it may have run on"}
@@ -224,18 +226,31 @@
 	if a.broken != nil {
 		fl.result = "gone"
 	}
-	putFrame(a.out)
-	a.out = nil
+	a.out = b
+	a.dropFrame()
 	fl.state.CompareAndSwap(streaming, answered)
 	fl.to.kick()
 	close(fl.done)
 }
 
-var frames = sync.Pool{New: func() any { b := make([]byte, 0, 4096+64); return &b }}
+// frames are the buffers in which answers are framed; a stream holds one only while it writes.
+var frames = sync.Pool{New: func() any { b := make([]byte, 0, 8192+64); return &b }}
 
-func putFrame(b []byte) {
-	if cap(b) <= 16<<10 {
-		frames.Put(&b)
+const frameMost = 64 << 10 // larger ones are not kept
+
+func (a *attempt) takeFrame() {
+	if a.frameBuf == nil {
+		a.frameBuf = frames.Get().(*[]byte)
+		a.out = (*a.frameBuf)[:0]
+	}
+}
+
+func (a *attempt) dropFrame() {
+	if a.frameBuf != nil {
+		if *a.frameBuf = a.out[:0]; cap(a.out) <= frameMost {
+			frames.Put(a.frameBuf)
+		}
+		a.frameBuf, a.out = nil, nil
 	}
 }
 
@@ -253,8 +268,8 @@
 	fl.to.streams(fl.last)
 	a.post(item{ev: choice.First{Request: fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: time.Since(a.began)}})
 	if fl.whole == nil {
-		b := (*frames.Get().(*[]byte))[:0]
-		b = http1.AppendStatus(b, 200)
+		a.takeFrame()
+		b := http1.AppendStatus(a.out, 200)
 		b = http1.AppendField(b, "Content-Type", "text/event-stream; charset=utf-8")
 		b = http1.AppendField(b, "Cache-Control", "no-cache")
 		b = http1.AppendField(b, engine.FieldID, a.id)
@@ -274,9 +289,10 @@
 	if a.fl.whole != nil {
 		return a.collect(p)
 	}
+	a.takeFrame()
 	a.out = a.frame(a.out, p)
 	a.broken = a.fl.to.write(a.out)
-	a.out = a.out[:0]
+	a.dropFrame()
 	return a.broken
 }
 
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -355,8 +355,26 @@
 	return n, err
 }
 
-// Buffered is the number of bytes that can be read without waiting for the connection, framing included.
-func (b *Body) Buffered() int { return b.br.Buffered() }
+// Wait returns when the connection has something for the body, or failed; Read tells which.
+func (b *Body) Wait() {
+	if !b.done {
+		_, _ = b.br.Peek(1)
+	}
+}
+
+// Ready tells that a Read will return without waiting for the connection.
+func (b *Body) Ready() bool {
+	n := b.br.Buffered()
+	if b.done || !b.chunked || b.left > 0 || n == 0 {
+		return b.done || n > 0
+	}
+	p, _ := b.br.Peek(n)
+	if !b.first {
+		p = p[min(2, n):] // the end of the last chunk
+	}
+	i := bytes.IndexByte(p, '\n')
+	return i >= 0 && i+1 < len(p)
+}
 
 func (b *Body) nextChunk() error {
 	if !b.first {
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -3,9 +3,20 @@
 
 import "bytes"
 
+var blank, dataField = []byte("\n\n"), []byte("data:")
+
 // Split returns the length of the first whole event in buf, its blank line included, or 0 when none is whole
 // yet. Lines may end in LF, CRLF or CR; a CR at the very end of buf is waited on, since an LF may follow.
 func Split(buf []byte) int {
+	if bytes.IndexByte(buf, '\r') < 0 { // what engines send
+		if len(buf) > 0 && buf[0] == '\n' {
+			return 1
+		}
+		if i := bytes.Index(buf, blank); i >= 0 {
+			return i + 2
+		}
+		return 0
+	}
 	for i := 0; i < len(buf); {
 		j := bytes.IndexAny(buf[i:], "\r\n")
 		if j < 0 {
@@ -44,12 +55,16 @@
 	found := false
 	for len(event) > 0 {
 		line := event
-		if i := bytes.IndexAny(event, "\r\n"); i >= 0 {
+		i := bytes.IndexByte(event, '\n')
+		if j := bytes.IndexByte(event[:max(i, 0)], '\r'); j >= 0 || i < 0 {
+			i = bytes.IndexAny(event, "\r\n")
+		}
+		if i >= 0 {
 			line, event = event[:i], event[i+1:]
 		} else {
 			event = nil
 		}
-		v, ok := bytes.CutPrefix(line, []byte("data:"))
+		v, ok := bytes.CutPrefix(line, dataField)
 		if !ok {
 			continue
 		}
