--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"strings"
 	"time"
 
 	"brackenbend/choice"
@@ -159,6 +160,7 @@
 	Connections int           `cfg:"connections"`      // at once, an engine
 	Idle        int           `cfg:"idle-connections"` // kept, an engine
 	IdleTime    time.Duration `cfg:"idle-time"`
+	Report      string        `cfg:"load-report"` // names of ORCA figures for the module, with spaces between
 }
 
 // Server is an engine of the static list.
@@ -287,6 +289,9 @@
 	c := choice.Settings{Fronts: v.Fronts, MaxAttempts: v.MaxAttempts, MaxWait: v.MaxWait, ReleaseWithin: v.Release,
 		DrainGrace: v.DrainGrace, ColdFrom: v.ColdFrom, ColdFor: v.ColdFor, OverloadFactor: v.Overload, TipAfter: v.TipAfter,
 		WritersRead: v.WritersRead, CanCancel: v.CancelStops, OverShareWorth: v.OverShare}
+	if s.Engines != nil {
+		c.ReportFields = strings.Fields(s.Engines.Report)
+	}
 	for _, k := range s.Classes {
 		c.Classes = append(c.Classes, choice.Class{Name: k.Name, Aim: k.Aim, AimPer1000: k.AimPer1000, TokenAim: k.TokenAim,
 			Deadline: k.Deadline, Worth: k.Worth, LateWorth: k.LateWorth, Effect: effects[k.Effect], Group: groups[k.Group], Window: k.Window})
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -69,7 +69,7 @@
 		run: fmt.Sprintf("%x", random[8:])}
 	f.routes.Store(set.Classifier())
 	e := set.Engines
-	f.loop = newLoop(f, router, &engine.Client{Agent: Agent(set), Extended: e.Dialect == "extended", DialTime: e.DialTime, Connections: e.Connections,
+	f.loop = newLoop(f, router, &engine.Client{Agent: Agent(set), Report: cs.ReportFields, Extended: e.Dialect == "extended", DialTime: e.DialTime, Connections: e.Connections,
 		Idle: e.Idle, IdleTime: e.IdleTime, StreamIdle: set.Limits.StreamIdle, Event: int(set.Limits.Event),
 		Reply: int64(set.Limits.Whole), Limits: http1.Limits{Head: 64 << 10, Fields: 200}})
 	return f, nil
