--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -244,7 +244,7 @@
 	}
 }
 
-func BenchmarkStep(b *testing.B) {
+func benchmarkStep(b *testing.B, readers, writers int) {
 	s := testSettings()
 	s.Fronts = 300
 	r, err := New(s, 1)
@@ -252,7 +252,7 @@
 		b.Fatal(err)
 	}
 	now := time.Minute
-	r.Step(now, []Event{ServerList{Scope: Full, Servers: pool(40, 60)}})
+	r.Step(now, []Event{ServerList{Scope: Full, Servers: pool(readers, writers)}})
 	for i := range b.N {
 		now += 20 * ms
 		id := RequestID(i + 1)
@@ -360,3 +360,10 @@
 		t.Fatalf("part refused on arrival %.2f, %d attempts of the last 20 requests", g.r.shed, sent)
 	}
 }
+
+// BenchmarkStep is one request's arrival and its end, at several sizes.
+func BenchmarkStep(b *testing.B) {
+	for _, n := range []int{20, 74, 100, 740} {
+		b.Run(fmt.Sprintf("%d servers", n), func(b *testing.B) { benchmarkStep(b, n*2/5, n-n*2/5) })
+	}
+}
