--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -58,6 +58,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	d.Rate = 20 // other packages' tests run beside this one
 	if rep := play(t, d, 15*time.Second); rep.Breaches() > 0 {
 		t.Errorf("%d breaches", rep.Breaches())
 	}
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -88,6 +88,11 @@
 	if v := Judge(append(safe, Event{At: time.Second, Kind: Run, Effect: "o1", Class: Safe}), lim)[1]; len(v.Breaches) > 0 {
 		t.Errorf("a safe class may run twice: %+v", v)
 	}
+	late := append(good(), Event{At: 970 * ms, Kind: Arrive, Engine: "r", Front: "f", Request: "x-7-0"}, Event{At: 980 * ms, Kind: Held, Request: "x-7-0"},
+		Event{At: 981 * ms, Kind: End, Request: "x-7-0"}, Event{At: 9 * time.Second, Kind: LetGo, Request: "x-7-0"})
+	if v := Judge(late, lim)[4]; len(v.Breaches) > 0 {
+		t.Errorf("what a killed front sent just before is nobody's: %+v", v)
+	}
 	told := append(good(), Event{At: 960 * ms, Kind: Arrive, Engine: "r", Front: "f", Request: "y-1-0"}, Event{At: 970 * ms, Kind: End, Request: "y-1-0"})
 	if v := Judge(told, lim)[2]; len(v.Breaches) > 0 {
 		t.Errorf("a front's next process was told nothing yet: %+v", v)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -54,6 +54,7 @@
 func (c *client) cutShort() {
 	if fl := c.fl.Load(); fl != nil {
 		if fl.finish(failure(fl)) {
+			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
 			return
 		}
 		if fl.state.Load() != streaming {
@@ -98,11 +99,14 @@
 		return nil, err
 	}
 	c.idle.Store(true)
-	if c.f.draining.Load() && c.br.Buffered() == 0 { // Shutdown may have looked before idle was set
-		return nil, io.EOF
+	var err error
+	if !c.f.draining.Load() { // else Shutdown may have looked before idle was set
+		_, err = c.br.Peek(1)
 	}
-	_, err := c.br.Peek(1)
 	c.idle.Store(false)
+	if c.f.draining.Load() && c.nc.SetReadDeadline(time.Now().Add(lastLook)) == nil {
+		_, err = c.br.Peek(1)
+	}
 	if err != nil {
 		return nil, io.EOF
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -421,10 +421,22 @@
 		t.Fatal(err)
 	}
 	defer idle.Close()
+	late := make(chan string, 1)
+	go func() { // on a connection that was idle, just as the front begins to drain
+		for !r.f.draining.Load() {
+			runtime.Gosched()
+		}
+		io.WriteString(idle, request(chat(true, 1), ""))
+		text, _ := io.ReadAll(idle)
+		late <- string(text)
+	}()
 	r.f.Shutdown(t.Context())
 	if text := <-got; !strings.Contains(text, "[DONE]") {
 		t.Errorf("%q", text)
 	}
+	if text := <-late; !strings.HasPrefix(text, "HTTP/1.1 503") || !strings.Contains(text, "Retry-After: 1") {
+		t.Errorf("a request that came with the drain: %q", text)
+	}
 	if _, err := net.Dial("tcp", r.addr); err == nil {
 		t.Error("it still accepts")
 	}
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -447,3 +447,11 @@
 
 // Working is the number of jobs that wait or run.
 func (e *Engine) Working() int { return len(e.queue) + len(e.running) }
+
+// Drop lets go of a read state; it may be called from a job's Done.
+func (e *Engine) Drop(id string) {
+	if s := e.states[id]; s != nil {
+		delete(e.states, id)
+		e.used -= s.tokens
+	}
+}
