--- a/cmd/brackenbend/bench_test.go
+++ b/cmd/brackenbend/bench_test.go
@@ -302,7 +302,7 @@
 
 // BenchmarkOpenStreams: memory of the front's process for each stream that is open.
 func BenchmarkOpenStreams(b *testing.B) {
-	const n = 4500 // this process holds both other ends, and an ordinary user 20,000 descriptors
+	const n = 9000 // two descriptors each here and there, and an ordinary user has 20,000
 	for range b.N {
 		hold := make(chan struct{})
 		s := startSides(b, 1, 0, hold)
--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -219,3 +219,55 @@
 		t.Errorf("%d runs, %d repeats dropped", runs, repeats)
 	}
 }
+
+// TestTenThousandIdleConnections: they cost a front memory only; a request beside them is answered.
+func TestTenThousandIdleConnections(t *testing.T) {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil || limit.Cur < 10500 {
+		t.Skipf("%d descriptors are allowed here: %v", limit.Cur, err)
+	}
+	s, err := engine.Start(engine.Config{Name: "e", Kind: "any", Params: engineParams("mixed")}, "127.0.0.1:0", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	file := filepath.Join(t.TempDir(), "front.xml")
+	text := fmt.Sprintf(`<brackenbend><front listen=%q/><service fronts="1"/><class name="c" effect="safe" aim="20s" deadline="30s"/>
+		<kind name="any" role="mixed"/><model name="m" bytes-per-token="4" max-output="8tokens"/><server name="e" kind="any" address=%q/></brackenbend>`, addr, s.Info().Address)
+	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "serve", "-c", file)
+	cmd.Env = append(os.Environ(), asMain...)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = cmd.Process.Signal(syscall.SIGKILL); _ = cmd.Wait() }()
+	conns := make([]net.Conn, 0, 10000)
+	defer func() {
+		for _, c := range conns {
+			c.Close()
+		}
+	}()
+	for end := time.Now().Add(60 * time.Second); len(conns) < 10000; {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			conns = append(conns, c)
+		} else if time.Now().After(end) {
+			t.Fatalf("%d connections, then: %v", len(conns), err)
+		} else {
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+	resp, err := http.Post("http://"+addr+"/v1/chat/completions", "application/json", strings.NewReader(`{"model":"m","messages":[{"role":"user","content":"x"}]}`))
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	resp.Body.Close()
+}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -519,23 +519,26 @@
 	}
 }
 
-func TestThousandsOfIdleConnections(t *testing.T) {
-	const n = 9000 // both ends are here, and an ordinary user may hold 20,000 descriptors
+// TestReload: routes are taken while the front runs; anything else leaves everything as it was.
+func TestReload(t *testing.T) {
 	r := newRig(t, "", "reader", "writer")
-	conns := make([]net.Conn, 0, n)
-	defer func() {
-		for _, c := range conns {
-			c.Close()
-		}
-	}()
-	for range n {
-		c, err := net.Dial("tcp", r.addr)
+	parse := func(old, new string) *config.Settings {
+		set, err := config.Parse("test.xml", []byte(strings.Replace(fmt.Sprintf(settings, ""), old, new, 1)))
 		if err != nil {
-			t.Skipf("%d connections, then: %v", len(conns), err)
+			t.Fatal(err)
 		}
-		conns = append(conns, c)
+		return set
 	}
-	if resp, _ := r.post("ask", chat(true, 3)); resp.StatusCode != 200 {
-		t.Errorf("beside %d idle connections: %d", n, resp.StatusCode)
+	if err := r.f.Reload(parse(`<model name="m"`, `<model name="m2"`)); err != nil {
+		t.Fatal(err)
+	}
+	if resp, _ := r.post("ask", chat(true, 1)); resp.StatusCode != 404 {
+		t.Errorf("the old model is served: %d", resp.StatusCode)
+	}
+	if err := r.f.Reload(parse(`deadline="10s" late-worth`, `deadline="11s" late-worth`)); err == nil || !strings.Contains(err.Error(), "<class>") {
+		t.Errorf("another class was taken: %v", err)
+	}
+	if resp, text := r.post("ask", strings.Replace(chat(true, 1), `"m"`, `"m2"`, 1)); resp.StatusCode != 200 {
+		t.Errorf("%d %q", resp.StatusCode, text)
 	}
 }
