--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -132,6 +132,36 @@
 	}
 }
 
+// serveFront starts a front of its own process; text is its settings with ADDRESS where it listens. It is killed at the
+// test's end.
+func serveFront(t *testing.T, text string) (*exec.Cmd, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	l.Close()
+	file := filepath.Join(t.TempDir(), "front.xml")
+	if err := os.WriteFile(file, []byte(strings.Replace(text, "ADDRESS", addr, 1)), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(os.Args[0], "serve", "-c", file)
+	cmd.Env = append(os.Environ(), asMain...)
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = cmd.Process.Signal(syscall.SIGKILL); _ = cmd.Wait() })
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		if c, err := net.Dial("tcp", addr); err == nil {
+			c.Close()
+			return cmd, addr
+		} else if time.Now().After(end) {
+			t.Fatal(err)
+		}
+	}
+}
+
 // TestFrontKilledWithAnOrderAtAWriter: the first front dies with SIGKILL while a writer has a keyed order; the
 // client comes again through the second; the order takes effect once.
 func TestFrontKilledWithAnOrderAtAWriter(t *testing.T) {
@@ -150,24 +180,8 @@
 	var fronts []*exec.Cmd
 	var addrs []string
 	for i := range 2 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		addr := l.Addr().String()
-		l.Close()
-		file := filepath.Join(t.TempDir(), "front.xml")
-		text := fmt.Sprintf(`<brackenbend><front name="f%d" listen=%q/><service fronts="2"/><class name="order" effect="keyed" window="1m" aim="5s" deadline="20s"/>
-			<kind name="reader" role="reader"/><kind name="writer" role="writer"/><model name="m" bytes-per-token="4" max-output="64tokens"/>%s</brackenbend>`, i, addr, servers)
-		if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-			t.Fatal(err)
-		}
-		cmd := exec.Command(os.Args[0], "serve", "-c", file)
-		cmd.Env = append(os.Environ(), asMain...)
-		if err := cmd.Start(); err != nil {
-			t.Fatal(err)
-		}
-		defer func() { _ = cmd.Process.Signal(syscall.SIGKILL); _ = cmd.Wait() }()
+		cmd, addr := serveFront(t, fmt.Sprintf(`<brackenbend><front name="f%d" listen="ADDRESS"/><service fronts="2"/><class name="order" effect="keyed" window="1m" aim="5s" deadline="20s"/>
+			<kind name="reader" role="reader"/><kind name="writer" role="writer"/><model name="m" bytes-per-token="4" max-output="64tokens"/>%s</brackenbend>`, i, servers))
 		fronts, addrs = append(fronts, cmd), append(addrs, addr)
 	}
 	count := func(k audit.Kind) (n int) {
@@ -190,16 +204,6 @@
 		text, err := io.ReadAll(resp.Body)
 		return string(text), err
 	}
-	for _, addr := range addrs {
-		for end := time.Now().Add(20 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-			if c, err := net.Dial("tcp", addr); err == nil {
-				c.Close()
-				break
-			} else if time.Now().After(end) {
-				t.Fatal(err)
-			}
-		}
-	}
 	first := make(chan error, 1)
 	go func() { _, err := ask(addrs[0]); first <- err }()
 	for end := time.Now().Add(20 * time.Second); count(audit.Run) == 0; time.Sleep(time.Millisecond) {
@@ -231,24 +235,8 @@
 		t.Fatal(err)
 	}
 	defer s.Close()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := l.Addr().String()
-	l.Close()
-	file := filepath.Join(t.TempDir(), "front.xml")
-	text := fmt.Sprintf(`<brackenbend><front listen=%q/><service fronts="1"/><class name="c" effect="safe" aim="20s" deadline="30s"/>
-		<kind name="any" role="mixed"/><model name="m" bytes-per-token="4" max-output="8tokens"/><server name="e" kind="any" address=%q/></brackenbend>`, addr, s.Info().Address)
-	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-		t.Fatal(err)
-	}
-	cmd := exec.Command(os.Args[0], "serve", "-c", file)
-	cmd.Env = append(os.Environ(), asMain...)
-	if err := cmd.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = cmd.Process.Signal(syscall.SIGKILL); _ = cmd.Wait() }()
+	_, addr := serveFront(t, fmt.Sprintf(`<brackenbend><front listen="ADDRESS"/><service fronts="1"/><class name="c" effect="safe" aim="20s" deadline="30s"/>
+		<kind name="any" role="mixed"/><model name="m" bytes-per-token="4" max-output="8tokens"/><server name="e" kind="any" address=%q/></brackenbend>`, s.Info().Address))
 	conns := make([]net.Conn, 0, 10000)
 	defer func() {
 		for _, c := range conns {
