--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -18,6 +18,7 @@
 	"brackenbend/internal/audit"
 	"brackenbend/internal/day"
 	"brackenbend/internal/standin/engine"
+	"brackenbend/internal/standin/loopback"
 )
 
 // TestMain lets the test binary stand for brackenbend itself, so that fronts are real processes.
@@ -136,12 +137,10 @@
 // test's end.
 func serveFront(t *testing.T, text string) (*exec.Cmd, string) {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.Address()
 	if err != nil {
 		t.Fatal(err)
 	}
-	addr := l.Addr().String()
-	l.Close()
 	file := filepath.Join(t.TempDir(), "front.xml")
 	if err := os.WriteFile(file, []byte(strings.Replace(text, "ADDRESS", addr, 1)), 0o644); err != nil {
 		t.Fatal(err)
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -70,6 +70,9 @@
 		}
 	}
 	rep.Rules = audit.Judge(rep.Events, audit.Limits{DrainGrace: r.d.Service.DrainGrace, Release: r.d.Service.Release, Slack: 50*time.Millisecond + 2*lag})
+	r.mu.Lock()
+	rep.Rules[0].Breaches = append(rep.Rules[0].Breaches, r.deaths...)
+	r.mu.Unlock()
 	if r.d.Expected != nil {
 		rep.Expected = r.d.Expected.Service
 	}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -17,6 +17,7 @@
 
 	"brackenbend/internal/audit"
 	"brackenbend/internal/standin/engine"
+	"brackenbend/internal/standin/loopback"
 	"brackenbend/internal/standin/model"
 	"brackenbend/internal/standin/register"
 )
@@ -50,6 +51,7 @@
 	hot       float64
 	hangUps   float64
 	slow      float64
+	deaths    []string               // fronts that ended by themselves
 	faulty    map[*engine.Server]int // faults set, so that overlapping ones end in order
 }
 
@@ -132,7 +134,11 @@
 		for i := range k.Count {
 			cfg := engine.Config{Name: fmt.Sprintf("%s-%d", k.Name, i+1), Kind: k.Name, Zone: "zone-1", Cell: fmt.Sprintf("cell-%d", i%2),
 				Params: r.params(&k), Plain: r.d.Dialect == "vllm", CancelStops: r.d.Service.CancelStops, Group: group, Record: r.rec, Changed: r.listEngine}
-			s, err := engine.Start(cfg, "127.0.0.1:0", false)
+			addr, err := loopback.Address()
+			if err != nil {
+				return err
+			}
+			s, err := engine.Start(cfg, addr, false)
 			if err != nil {
 				return err
 			}
@@ -180,12 +186,10 @@
 
 // newFront writes a front's settings.
 func (r *run) newFront(i int) (*process, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.Address()
 	if err != nil {
 		return nil, err
 	}
-	addr := l.Addr().String()
-	l.Close()
 	name := fmt.Sprintf("front-%d", i+1)
 	p := &process{name: name, addr: addr, file: filepath.Join(r.o.Dir, name+".xml")}
 	return p, os.WriteFile(p.file, []byte(r.settings(p, i)), 0o644)
@@ -250,10 +254,32 @@
 	}
 	p.cmd, p.ended = cmd, make(chan struct{})
 	r.rec.Add(audit.Event{Kind: audit.FrontUp, Front: p.name})
-	go func(done chan struct{}) { _ = cmd.Wait(); close(done) }(p.ended)
+	go func(done chan struct{}) {
+		err := cmd.Wait()
+		p.mu.Lock()
+		byItself := p.cmd == cmd
+		p.mu.Unlock()
+		if byItself {
+			r.fell(p, err)
+		}
+		close(done)
+	}(p.ended)
 	return nil
 }
 
+// fell books a front whose process ended though nobody ended it, with what it last wrote.
+func (r *run) fell(p *process, err error) {
+	text, _ := os.ReadFile(strings.TrimSuffix(p.file, ".xml") + ".log")
+	if i := max(strings.LastIndex(string(text), "\npanic:"), strings.LastIndex(string(text), "\nfatal error:")); i >= 0 {
+		text = text[i+1:]
+	} else {
+		text = text[max(0, len(text)-1000):]
+	}
+	r.mu.Lock()
+	r.deaths = append(r.deaths, fmt.Sprintf("%.3fs: %s ended by itself (%v): %.3000s", r.rec.Now().Seconds(), p.name, err, text))
+	r.mu.Unlock()
+}
+
 // end signals a front's process and waits for its end.
 func (r *run) end(p *process, sig syscall.Signal) {
 	p.mu.Lock()
