--- a/cmd/brackenbend/serve.go
+++ b/cmd/brackenbend/serve.go
@@ -88,11 +88,10 @@
 
 // daemon is a running front with its list of engines and its admin listener.
 type daemon struct {
-	front   *front.Front
-	addr    string
-	failed  chan error
-	stop    func()
-	drained time.Duration
+	front  *front.Front
+	addr   string
+	failed chan error
+	stop   func()
 }
 
 // startFront wires a front: listeners, the list of engines, metrics.
--- a/internal/api/classify.go
+++ b/internal/api/classify.go
@@ -60,7 +60,6 @@
 	DefaultClass, DefaultTenant int // -1 = refused
 	Sessions, Prefixes          []Key
 	Models                      []Model
-	ClassNames, TenantNames     []string
 }
 
 // Traits are what the decision module is told of a request.
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -119,7 +119,7 @@
 	return []Verdict{oneAnswer(events), onceOnly(events), drains(events, lim), cold(events), pinned(events, lim)}
 }
 
-// killedWithin tells whether the front was killed in the span.
+// killed makes a function that tells whether the front was killed in the span.
 func killed(events []Event) func(front string, from, to time.Duration) bool {
 	kills := map[string][]time.Duration{}
 	for _, e := range events {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -314,15 +314,6 @@
 	if len(s.Tenants) < 2 {
 		c.DefaultTenant = 0
 	}
-	for _, k := range s.Classes {
-		c.ClassNames = append(c.ClassNames, k.Name)
-	}
-	for _, t := range s.Tenants {
-		c.TenantNames = append(c.TenantNames, t.Name)
-	}
-	if len(s.Tenants) == 0 {
-		c.TenantNames = []string{"all"}
-	}
 	for _, r := range s.Rules {
 		m := api.Match{From: sources[r.When], Name: r.Name, Equals: r.Equals, Prefix: r.Begins}
 		if r.Class != "" {
--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -4,6 +4,7 @@
 package day
 
 import (
+	"cmp"
 	"embed"
 	"fmt"
 	"math"
@@ -141,18 +142,11 @@
 	}
 	for i := range d.Classes {
 		c := &d.Classes[i]
-		c.Worth, c.Turns = orElse(c.Worth, 1), orElse(c.Turns, 1)
+		c.Worth, c.Turns = cmp.Or(c.Worth, 1), cmp.Or(c.Turns, 1)
 	}
 	return d, nil
 }
 
-func orElse(v, d float64) float64 {
-	if v == 0 {
-		return d
-	}
-	return v
-}
-
 func (d *Day) check(report config.Reporter) {
 	if d.Length < time.Second || d.Length > time.Hour {
 		report(d.Pos, "write 1s to 1h", "a day of %v", d.Length)
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// partOfRequests are the happenings whose part is of an engine's requests; that of others is of engines.
+var partOfRequests = []string{"fail-fast", "reset-mid-stream", "reset-after-request", "reset-after-effect"}
+
 // pick draws engines for a happening; those that a draw of an earlier one still holds are left out, so that
 // the fleet does not lose more than the script says.
 func (r *run) pick(h *Happening) []*engine.Server {
@@ -58,7 +61,7 @@
 		}
 	}
 	n := max(h.Count, 1)
-	if h.Count == 0 && h.Part > 0 && h.What != "fail-fast" && h.What != "reset-mid-stream" && h.What != "reset-after-request" && h.What != "reset-after-effect" {
+	if h.Count == 0 && h.Part > 0 && !slices.Contains(partOfRequests, h.What) {
 		n = int(math.Ceil(h.Part * float64(len(all))))
 	}
 	r.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
@@ -132,19 +135,19 @@
 			}
 		}
 	case "fail-fast":
-		return set(engine.Faults{FailFast: orElse(h.Part, 1)})
+		return set(engine.Faults{FailFast: cmp.Or(h.Part, 1)})
 	case "fail-class":
 		return set(engine.Faults{FailClass: h.Class})
 	case "stall":
 		return set(engine.Faults{Stall: true})
 	case "slow":
-		return set(engine.Faults{Slow: orElse(h.Factor, 4)})
+		return set(engine.Faults{Slow: cmp.Or(h.Factor, 4)})
 	case "reset-mid-stream":
-		return set(engine.Faults{ResetMid: orElse(h.Part, 1)})
+		return set(engine.Faults{ResetMid: cmp.Or(h.Part, 1)})
 	case "reset-after-request":
-		return set(engine.Faults{ResetHead: orElse(h.Part, 1)})
+		return set(engine.Faults{ResetHead: cmp.Or(h.Part, 1)})
 	case "reset-after-effect":
-		return set(engine.Faults{ResetRun: orElse(h.Part, 1)})
+		return set(engine.Faults{ResetRun: cmp.Or(h.Part, 1)})
 	case "reports-frozen":
 		return set(engine.Faults{Frozen: true})
 	case "reports-none":
@@ -232,18 +235,18 @@
 	set := func(f func()) { r.mu.Lock(); f(); r.mu.Unlock() }
 	switch h.What {
 	case "surge":
-		set(func() { r.surge = orElse(h.Factor, 2) })
+		set(func() { r.surge = cmp.Or(h.Factor, 2) })
 		return func() { set(func() { r.surge = 1 }) }
 	case "overlong":
-		set(func() { r.longPart, r.longBy, r.longClass = orElse(h.Part, 0.02), orElse(h.Factor, 10), h.Class })
+		set(func() { r.longPart, r.longBy, r.longClass = cmp.Or(h.Part, 0.02), cmp.Or(h.Factor, 10), h.Class })
 		return func() { set(func() { r.longPart = 0 }) }
 	case "hot-prefix":
-		set(func() { r.hot = orElse(h.Part, 0.2) })
+		set(func() { r.hot = cmp.Or(h.Part, 0.2) })
 		return func() { set(func() { r.hot = 0 }) }
 	case "hang-ups":
-		set(func() { r.hangUps = orElse(h.Part, 0.1) })
+		set(func() { r.hangUps = cmp.Or(h.Part, 0.1) })
 		return func() { set(func() { r.hangUps = 0 }) }
 	}
-	set(func() { r.slow = orElse(h.Part, 0.1) })
+	set(func() { r.slow = cmp.Or(h.Part, 0.1) })
 	return func() { set(func() { r.slow = 0 }) }
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -157,8 +157,11 @@
 		}
 		return nil, nil, &out
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	if !call.Deadline.IsZero() {
+	var ctx context.Context
+	var stop context.CancelFunc
+	if call.Deadline.IsZero() {
+		ctx, stop = context.WithCancel(context.Background())
+	} else {
 		ctx, stop = context.WithDeadline(context.Background(), call.Deadline)
 	}
 	defer stop()
@@ -221,12 +224,20 @@
 	return append(b, call.Body...)
 }
 
+// whole reads the rest of an answer and gives the connection back; alive is false when the attempt was called off.
+func (c *Client) whole(a *Attempt, s *Server, k *conn, resp *http1.Response) (text []byte, alive bool, err error) {
+	var body http1.Body
+	body.Reset(k.br, &resp.Message, c.Limits)
+	text, err = http1.ReadAll(&body, c.Reply)
+	alive = a.drop()
+	c.give(s, k, alive && err == nil && body.Done() && !resp.Close)
+	return text, alive, err
+}
+
 // refused reads an answer other than 200 and maps it.
 func (c *Client) refused(a *Attempt, s *Server, k *conn, resp *http1.Response) Outcome {
 	out := Outcome{Result: choice.Errored, Report: c.report(resp), Err: fmt.Errorf("engine: answered %d", resp.Status)}
-	var body http1.Body
-	body.Reset(k.br, &resp.Message, c.Limits)
-	text, err := http1.ReadAll(&body, c.Reply)
+	text, _, err := c.whole(a, s, k, resp)
 	switch resp.Status {
 	case 429, 503:
 		if c.Extended && resp.Header.Get(FieldNeverRan) == "1" {
@@ -237,7 +248,6 @@
 			out.Result, out.Reply = choice.Served, &Reply{resp.Status, text}
 		}
 	}
-	c.give(s, k, a.drop() && err == nil && body.Done() && !resp.Close)
 	return out
 }
 
@@ -250,11 +260,7 @@
 	if resp.Status != 200 {
 		return c.refused(a, s, k, resp)
 	}
-	var body http1.Body
-	body.Reset(k.br, &resp.Message, c.Limits)
-	text, err := http1.ReadAll(&body, c.Reply)
-	alive := a.drop()
-	c.give(s, k, alive && err == nil && body.Done() && !resp.Close)
+	text, alive, err := c.whole(a, s, k, resp)
 	if err != nil || !alive {
 		return a.ended(err)
 	}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -414,7 +414,7 @@
 func (c *client) callOff(fl *flight) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
-	for _, a := range fl.trail {
+	for _, a := range fl.attempts {
 		a.handle.Cancel()
 	}
 }
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -46,14 +46,13 @@
 	result string        // for the log, as answer
 	first  atomic.Int64  // nanoseconds from taken to the first token
 
-	mu    sync.Mutex
-	trail []*attempt   // as attempts, for the log
-	bytes atomic.Int64 // of its body, as booked with the front
+	mu       sync.Mutex
+	attempts []*attempt   // written by the loop alone, under mu; others read them under mu
+	bytes    atomic.Int64 // of its body, as booked with the front
 
 	// owned by the loop
-	attempts []*attempt
-	out      int
-	kv       json.RawMessage
+	out int
+	kv  json.RawMessage
 }
 
 // answer is what a client gets that is not a stream.
@@ -88,7 +87,7 @@
 
 func (fl *flight) note(a *attempt) {
 	fl.mu.Lock()
-	fl.trail = append(fl.trail, a)
+	fl.attempts = append(fl.attempts, a)
 	fl.mu.Unlock()
 }
 
@@ -164,7 +163,7 @@
 			a.letGo(l)
 		}()
 	}
-	l.post(item{kv: out.KV, out: &out, ev: choice.Outcome{Request: a.fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: took, Over: over,
+	l.post(item{kv: out.KV, ev: choice.Outcome{Request: a.fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: took, Over: over,
 		Result: out.Result, NoState: out.NoState, Kept: out.Kept, Report: out.Report}})
 }
 
@@ -330,8 +329,8 @@
 		return
 	}
 	fl.mu.Lock()
-	trail := make([]string, 0, len(fl.trail))
-	for _, a := range fl.trail {
+	trail := make([]string, 0, len(fl.attempts))
+	for _, a := range fl.attempts {
 		a.resultMu.Lock()
 		result := a.result
 		if result == "" {
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -43,7 +42,6 @@
 	addr    string
 	engines map[string]*standin.Server
 	list    []register.Engine
-	logs    *bytes.Buffer
 	served  chan error
 }
 
@@ -72,7 +70,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &rig{t: t, engines: map[string]*standin.Server{}, logs: &bytes.Buffer{}, served: make(chan error, 1)}
+	r := &rig{t: t, engines: map[string]*standin.Server{}, served: make(chan error, 1)}
 	if r.f, err = New(set, zap.NewNop(), obs.NewMetrics()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -17,9 +17,8 @@
 // item is something that happened, on its way to the loop.
 type item struct {
 	ev   choice.Event
-	fl   *flight         // with a Request
-	kv   []byte          // with the Outcome of a read
-	out  *engine.Outcome // with an Outcome
+	fl   *flight // with a Request
+	kv   []byte  // with the Outcome of a read
 	list *register.Update
 	stop bool // end the loop once no flight is left
 }
@@ -231,9 +230,8 @@
 	} else {
 		fl.kv = nil
 	}
-	fl.attempts = append(fl.attempts, att)
-	fl.out++
 	fl.note(att)
+	fl.out++
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
