Register stand-in: ready is recorded before its bytes, a drain after them

Change: what is ready is recorded before a byte leaves, what drains or is gone after the flush, for the list and the watch alike; a batch that says both is told both.

--- a/internal/standin/register/register.go
+++ b/internal/standin/register/register.go
@@ -23,6 +23,9 @@
 	Started                              time.Time // zero = not told
 }
 
+// usable tells that new work may go to the engine; the zero Entry is gone.
+func (e Entry) usable() bool { return e.Ready && !e.Draining }
+
 type change struct {
 	version int
 	kind    string // ADDED, MODIFIED, DELETED
@@ -237,39 +240,62 @@
 	}
 	items := []any{}
 	next := ""
+	var ready []string
 	for i := from; i < len(s.order); i++ {
 		if len(items) == limit {
 			next = fmt.Sprintf("%d-%d", version, i)
 			break
 		}
-		items = append(items, s.slice(s.entries[s.order[i]], s.versOf[s.order[i]]))
+		e := s.entries[s.order[i]]
+		items = append(items, s.slice(e, s.versOf[e.Name]))
+		if e.usable() {
+			ready = append(ready, e.Name)
+		}
 	}
-	tell := map[string]bool{}
+	var not []string // drain or are gone
 	for name := range s.known {
-		e, ok := s.entries[name]
-		tell[name] = ok && e.Ready && !e.Draining
+		if !s.entries[name].usable() {
+			not = append(not, name)
+		}
 	}
 	s.mu.Unlock()
+	s.told(audit.ToldReady, front, ready)
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"kind": "EndpointSliceList", "apiVersion": "discovery.k8s.io/v1",
 		"metadata": map[string]any{"resourceVersion": strconv.Itoa(version), "continue": next}, "items": items})
-	if next == "" {
-		for name, ready := range tell {
-			s.told(front, name, ready)
-		}
+	if next == "" && http.NewResponseController(w).Flush() == nil {
+		s.told(audit.Told, front, not)
 	}
 }
 
-// told records what a front was told; the front can't know it sooner.
-func (s *Server) told(front, engine string, ready bool) {
+// told records what a front is told. That engines are ready is recorded before a byte of it leaves, since the front
+// may act on it before this process runs again; that they drain or are gone after the bytes left, since it can't
+// know before.
+func (s *Server) told(kind audit.Kind, front string, engines []string) {
 	if s.Record == nil {
 		return
 	}
-	k := audit.Told
-	if ready {
-		k = audit.ToldReady
+	for _, name := range engines {
+		s.Record.Add(audit.Event{Kind: kind, Front: front, Engine: name})
 	}
-	s.Record.Add(audit.Event{Kind: k, Front: front, Engine: engine})
+}
+
+// words sorts what a batch of changes tells of engines: those that are ready at some point in it, and those that
+// drain or are gone at its end.
+func words(due []change) (ready, not []string) {
+	last := map[string]bool{}
+	for _, c := range due {
+		last[c.entry.Name] = c.kind != "DELETED" && c.entry.usable()
+		if last[c.entry.Name] {
+			ready = append(ready, c.entry.Name)
+		}
+	}
+	for name, ok := range last {
+		if !ok {
+			not = append(not, name)
+		}
+	}
+	return ready, not
 }
 
 func (s *Server) watch(w http.ResponseWriter, r *http.Request, front string) {
@@ -323,6 +349,8 @@
 			due = append(due, s.history[next])
 		}
 		s.mu.Unlock()
+		ready, not := words(due)
+		s.told(audit.ToldReady, front, ready)
 		for _, c := range due {
 			if enc.Encode(map[string]any{"type": c.kind, "object": s.slice(c.entry, c.version)}) != nil {
 				return
@@ -333,9 +361,7 @@
 			if rc.Flush() != nil {
 				return
 			}
-			for _, c := range due {
-				s.told(front, c.entry.Name, c.kind != "DELETED" && c.entry.Ready && !c.entry.Draining)
-			}
+			s.told(audit.Told, front, not)
 		}
 		select {
 		case <-ctx.Done():
