A client's own repeat of an unsafe request is failed, not run again

Cause (second finding): a published SDK at its defaults repeats by itself when the path breaks as an answer begins, and the front took that for a new request: an order ran twice. Bookkeeping with no decision moved to state.go.

--- a/choice/api.go
+++ b/choice/api.go
@@ -192,6 +192,9 @@
 		Due       time.Duration
 		Repeat    bool // a client's further try, where clients mark it; not used
 		Resumed   bool // came again after its stream broke; not used
+		// Doubtful marks a further try by a client of itself, of which it can't be told here how the earlier ones
+		// ended: one may have run.
+		Doubtful bool
 	}
 	// First tells that a stream has begun; its request has no deadline any more.
 	First struct {
@@ -262,9 +265,13 @@
 	Refuse struct {
 		Request RequestID
 		Wait    time.Duration
+		HandUp  bool // the client should not try again by itself but tell its user, who may
 	}
 	// Fail is a final answer that promises nothing about effects.
-	Fail struct{ Request RequestID }
+	Fail struct {
+		Request RequestID
+		Earlier bool // this try was not begun, since an earlier one of its client may have run
+	}
 	// Cancel calls an attempt off.
 	Cancel struct {
 		Request RequestID
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -204,20 +204,6 @@
 	return r.set.ColdFor > 0 && s.ReadyAt > 0 && r.now-s.ReadyAt < r.set.ColdFor
 }
 
-// age brings the fading figures of s to now.
-func (r *Router) age(s *server) {
-	dt := (r.now - s.seen).Seconds()
-	s.seen = r.now
-	s.count *= math.Exp(-dt / memory.Seconds())
-	s.slow *= math.Exp(-dt / failsFor.Seconds())
-	for i, was := range s.fails {
-		if s.fails[i] *= math.Exp(-dt / failsFor.Seconds()); was > failBad && s.fails[i] <= failBad {
-			r.reshape()
-		}
-	}
-	s.homed *= math.Exp(-dt / homedFor.Seconds())
-}
-
 // judge puts servers aside that do far worse than the peers of their role: they fail more or say
 // nothing. So it answers crashed, failing, stalled and cut-off servers alike. When most are as bad none is
 // blamed.
@@ -242,56 +228,6 @@
 	}
 }
 
-// count sums up each role anew.
-func (r *Router) count() {
-	for i := range r.roles {
-		f := &r.roles[i]
-		*f = roleFigures{rate: f.rate, fails: f.fails[:0]}
-	}
-	for _, s := range r.servers {
-		if !s.listed {
-			continue
-		}
-		f := &r.roles[s.role]
-		f.listed++
-		f.fails = append(f.fails, s.fail)
-		f.idle += b2f(s.n == 0)
-		f.own += float64(s.n)
-		if !r.cold(s) {
-			f.warm++
-			f.count += s.count
-		}
-		f.well += b2f(!s.bad)
-		f.quiet += int(b2f(!s.bad && r.silent(s)))
-	}
-	r.flows()
-	for i := range r.roles {
-		f := &r.roles[i]
-		if f.warm > 0 {
-			f.rate = f.count / f.warm / memory.Seconds()
-		}
-		slices.Sort(f.fails)
-	}
-}
-
-// flows sets the readers' parts of each cell and zone against the writers'.
-func (r *Router) flows() {
-	r.cells, r.zones = map[int]flow{}, map[int]flow{}
-	for _, s := range r.servers {
-		if !s.listed || s.bad || s.role == Mixed {
-			continue
-		}
-		c, z := r.cells[s.Cell], r.zones[s.Zone]
-		part := r.present(s) / r.roles[s.role].well
-		if s.role == Reader {
-			c.reads, z.reads = c.reads+part, z.reads+part
-		} else {
-			c.writes, z.writes = c.writes+part, z.writes+part
-		}
-		r.cells[s.Cell], r.zones[s.Zone] = c, z
-	}
-}
-
 // silent tells that s has had attempts for much longer than the usual time and has said nothing since.
 // Attempts of an unsafe class have no time-out, so without it a stall would show at their deadlines only.
 func (r *Router) silent(s *server) bool {
@@ -427,6 +363,10 @@
 	if r.reqs[ev.ID] != nil || ev.Class < 0 || ev.Class >= len(r.set.Classes) {
 		return
 	}
+	if ev.Doubtful && r.set.Classes[ev.Class].Effect == Unsafe { // an earlier try may have run, at any front
+		r.emit(Fail{ev.ID, true})
+		return
+	}
 	q := &request{Request: ev, class: &r.set.Classes[ev.Class], at: r.now}
 	if ev.Tenant >= 0 && ev.Tenant < len(r.tenants) && r.tenants[ev.Tenant].rate > 0 {
 		t := &r.tenants[ev.Tenant]
@@ -881,19 +821,6 @@
 	}
 }
 
-// hear books an attempt out of those that wait for a word and to be read; said tells that the server
-// itself gave it.
-func (r *Router) hear(a *attempt, said bool) {
-	if a.quiet {
-		a.s.waits--
-	}
-	a.s.unread = max(a.s.unread-a.unread, 0)
-	a.quiet, a.unread = false, 0
-	if said {
-		a.s.heard = r.now
-	}
-}
-
 // paced learns how long a waiting prompt token takes at s, and over all readers.
 func (r *Router) paced(a *attempt, took time.Duration) {
 	v := took.Seconds() / max(a.ahead, 200)
@@ -963,14 +890,15 @@
 }
 
 // no is the final answer to a request that is given up: a refusal where trying again is harmless, else a
-// failure.
+// failure. A client's own repeat of an unsafe request can't be told from one after a lost answer, and is failed on
+// arrival; so a refusal of one is handed up by the client, and its user asks anew.
 func (r *Router) no(q *request, waiting int) Action {
 	risky := q.ran || slices.ContainsFunc(q.att, func(a attempt) bool { return a.out && a.write })
 	if risky && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
-		return Fail{q.ID}
+		return Fail{q.ID, false}
 	}
 	wait := min(max(pauseLeast, time.Duration(waiting)*10*time.Millisecond), r.set.MaxWait)
-	return Refuse{q.ID, wait}
+	return Refuse{q.ID, wait, q.class.Effect == Unsafe}
 }
 
 // finish is the one place where a request ends. It answers, calls off what is out and lets go of what is
--- a/choice/order_test.go
+++ b/choice/order_test.go
@@ -121,7 +121,13 @@
 	step := func(evs ...Event) {
 		for _, a := range r.Step(now, evs) {
 			actions++
-			if _, isLog := a.(Log); !isLog {
+			switch a := a.(type) { // the words are those of the module that was recorded
+			case Log:
+			case Refuse:
+				fmt.Fprintf(h, "%d %T {Request:%v Wait:%v}\n", now, a, a.Request, a.Wait)
+			case Fail:
+				fmt.Fprintf(h, "%d %T {Request:%v}\n", now, a, a.Request)
+			default:
 				fmt.Fprintf(h, "%d %T %+v\n", now, a, a)
 			}
 			switch a := a.(type) {
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -406,3 +406,36 @@
 		t.Fatal("another instance changed the actions")
 	}
 }
+
+// TestClientsOwnRepeats: a repeat that a client makes by itself may follow a lost answer. That of an unsafe request is
+// failed at once and never sent; others go their way. A refusal of an unsafe request tells the client not to repeat.
+func TestClientsOwnRepeats(t *testing.T) {
+	s := testSettings()
+	for class, c := range s.Classes {
+		g := newRig(t, s, reader(1), writer(2))
+		q := g.request(1, class, 500)
+		q.Doubtful = true
+		acts := g.step(q)
+		fails, sends := pick[Fail](acts), pick[Send](acts)
+		if c.Effect == Unsafe != (len(fails) == 1 && fails[0].Earlier) || c.Effect == Unsafe == (len(sends) == 1) {
+			t.Errorf("%s: %+v", c.Name, acts)
+		}
+		if c.Effect == Unsafe && len(g.r.reqs) != 0 {
+			t.Errorf("%s: it is remembered after its answer", c.Name)
+		}
+		g = newRig(t, s, reader(1)) // nothing writes
+		acts = g.step(g.request(2, class, 500))
+		for range 1000 {
+			if r := pick[Refuse](acts); len(r) == 1 {
+				if r[0].HandUp != (c.Effect == Unsafe) {
+					t.Errorf("%s: %+v", c.Name, r[0])
+				}
+				break
+			}
+			acts = g.after(20 * ms)
+		}
+		if len(g.r.reqs) != 0 {
+			t.Errorf("%s: never refused", c.Name)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -292,6 +292,83 @@
 	return true
 }
 
+// age brings the fading figures of s to now.
+func (r *Router) age(s *server) {
+	dt := (r.now - s.seen).Seconds()
+	s.seen = r.now
+	s.count *= math.Exp(-dt / memory.Seconds())
+	s.slow *= math.Exp(-dt / failsFor.Seconds())
+	for i, was := range s.fails {
+		if s.fails[i] *= math.Exp(-dt / failsFor.Seconds()); was > failBad && s.fails[i] <= failBad {
+			r.reshape()
+		}
+	}
+	s.homed *= math.Exp(-dt / homedFor.Seconds())
+}
+
+// count sums up each role anew.
+func (r *Router) count() {
+	for i := range r.roles {
+		f := &r.roles[i]
+		*f = roleFigures{rate: f.rate, fails: f.fails[:0]}
+	}
+	for _, s := range r.servers {
+		if !s.listed {
+			continue
+		}
+		f := &r.roles[s.role]
+		f.listed++
+		f.fails = append(f.fails, s.fail)
+		f.idle += b2f(s.n == 0)
+		f.own += float64(s.n)
+		if !r.cold(s) {
+			f.warm++
+			f.count += s.count
+		}
+		f.well += b2f(!s.bad)
+		f.quiet += int(b2f(!s.bad && r.silent(s)))
+	}
+	r.flows()
+	for i := range r.roles {
+		f := &r.roles[i]
+		if f.warm > 0 {
+			f.rate = f.count / f.warm / memory.Seconds()
+		}
+		slices.Sort(f.fails)
+	}
+}
+
+// flows sets the readers' parts of each cell and zone against the writers'.
+func (r *Router) flows() {
+	r.cells, r.zones = map[int]flow{}, map[int]flow{}
+	for _, s := range r.servers {
+		if !s.listed || s.bad || s.role == Mixed {
+			continue
+		}
+		c, z := r.cells[s.Cell], r.zones[s.Zone]
+		part := r.present(s) / r.roles[s.role].well
+		if s.role == Reader {
+			c.reads, z.reads = c.reads+part, z.reads+part
+		} else {
+			c.writes, z.writes = c.writes+part, z.writes+part
+		}
+		r.cells[s.Cell], r.zones[s.Zone] = c, z
+	}
+}
+
+// hear books an attempt out of those that wait for a word and to be read; said tells that the server
+// itself gave it.
+func (r *Router) hear(a *attempt, said bool) {
+	if a.quiet {
+		a.s.waits--
+	}
+	a.s.unread = max(a.s.unread-a.unread, 0)
+	a.quiet, a.unread = false, 0
+	if said {
+		a.s.heard = r.now
+	}
+}
+
 // forget drops servers that have been off the list for goneFor and hold no attempt: names that never come back,
 // as those of rolled pods, would cost memory and time for ever. One that comes back sooner keeps its past.
 func (r *Router) forget() {
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -367,6 +367,13 @@
 	return ReadReply{v.KV, v.Usage.Details.Cached}, nil
 }
 
+// IsRepeat tells that a client repeats a request by itself: the OpenAI SDKs number their tries of one call in
+// X-Stainless-Retry-Count, from 0. What is there but no number counts as a repeat, since not to see one does harm.
+func IsRepeat(h http1.Header) bool {
+	v := strings.TrimSpace(h.Get("X-Stainless-Retry-Count"))
+	return strings.Trim(v, "0") != ""
+}
+
 // ClientTime is how long the client says it waits, from the time-out headers of the OpenAI SDKs (seconds);
 // 0 when it does not say.
 func ClientTime(h http1.Header) time.Duration {
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -165,3 +165,11 @@
 		t.Errorf("client's time %v", d)
 	}
 }
+
+func TestIsRepeat(t *testing.T) {
+	for v, want := range map[string]bool{"": false, "0": false, "1": true, "2": true, "10": true, "x": true, "-1": true} {
+		if got := IsRepeat(http1.Header{{Name: "X-Stainless-Retry-Count", Value: v}}); got != want {
+			t.Errorf("%q: %v", v, got)
+		}
+	}
+}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -59,7 +59,7 @@
 	Try     string        `json:"try,omitempty"`    // one request of a client
 	Effect  string        `json:"effect,omitempty"` // what its tries have in common
 	Class   Class         `json:"class,omitempty"`
-	Result  string        `json:"result,omitempty"` // served, refused, failed, broken, invalid
+	Result  string        `json:"result,omitempty"` // served, refused, turned (never taken), failed, broken, invalid
 	Until   time.Duration `json:"until,omitempty"`  // the client's time
 }
 
@@ -192,17 +192,24 @@
 	return v
 }
 
-// onceOnly: no effect twice, and nothing is refused that may have run.
+// onceOnly: no effect twice over all tries of a client's one intent, and nothing is refused that may have run, in
+// this try or in one before.
 func onceOnly(events []Event) Verdict {
 	v := Verdict{Rule: "no effect twice, no refusal of what may have run"}
 	ran := map[string]int{}
-	ranTry := map[string]Event{}
+	ranTry, ranFirst, intent := map[string]Event{}, map[string]Event{}, map[string]string{}
 	for _, e := range events {
+		if e.Kind == Sent {
+			intent[e.Try] = e.Effect
+		}
 		if e.Kind != Run {
 			continue
 		}
 		v.Checks++
 		ranTry[e.Try] = e
+		if _, ok := ranFirst[e.Effect]; !ok {
+			ranFirst[e.Effect] = e
+		}
 		if ran[e.Effect]++; e.Class != Safe && ran[e.Effect] > 1 {
 			v.breach(e.At, "%s effect %s ran %d times, last at %s as %s", e.Class, e.Effect, ran[e.Effect], e.Engine, e.Request)
 		}
@@ -214,6 +221,8 @@
 		v.Checks++
 		if r, ok := ranTry[e.Try]; ok && r.Class == Unsafe {
 			v.breach(e.At, "try %s of an unsafe class was refused, it had run at %s", e.Try, r.Engine)
+		} else if r, ok := ranFirst[intent[e.Try]]; ok && r.Class == Unsafe && r.At < e.At {
+			v.breach(e.At, "try %s of an unsafe class was refused, try %s of it had run at %s", e.Try, r.Try, r.Engine)
 		}
 	}
 	return v
--- a/internal/day/traffic.go
+++ b/internal/day/traffic.go
@@ -151,8 +151,9 @@
 	}
 }
 
-// ask sends a request with the retries of an ordinary client: after a refusal any class, after an unknown end
-// only what may be repeated.
+// ask sends a request with the retries of its client. One half are programs on a published SDK, which repeats by
+// itself and marks it: whatever has no answer, 429 and 5xx, unless it is told not to. The other half is careful and
+// marks nothing: after a refusal any class, after an unknown end only what may be repeated.
 func (t *traffic) ask(rnd *rand.Rand, try client.Try, effect string, ci, ti int) client.Result {
 	try.Effect = effect
 	if try.Class == audit.Keyed {
@@ -166,6 +167,7 @@
 		try.SlowBy = 50 * time.Millisecond
 	}
 	t.r.mu.Unlock()
+	try.Marked = rnd.Float64() < 0.5
 	began := time.Now()
 	tries, connects := 0, 0
 	var res client.Result
@@ -184,10 +186,17 @@
 			connects++
 			again, wait = connects <= 20, 100*time.Millisecond
 			tries--
-		case "refused":
-			again, wait = tries <= t.r.d.Service.Retries, res.Wait
+		case "refused", "turned":
+			again, wait = !try.Marked || !res.HandUp, res.Wait
 		case "failed", "cut":
-			again = try.Class != audit.Unsafe && tries <= t.r.d.Service.Retries
+			again = try.Class != audit.Unsafe
+			if try.Marked {
+				again = !res.HandUp
+			}
+		}
+		if res.Kind != "unconnected" {
+			again = again && tries <= t.r.d.Service.Retries
+			try.Repeats++
 		}
 		if !again || time.Since(began) > try.Wait {
 			break
@@ -226,7 +235,7 @@
 				v.Late++
 				v.Worth += c.Worth * c.LateWorth
 			}
-		case "refused":
+		case "refused", "turned":
 			v.Refused++
 		case "failed", "invalid", "none":
 			v.Failed++
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -286,7 +286,7 @@
 		return nil, &api.Error{Status: 503, Type: "server_error", Message: "this front must be restarted; nothing was done"}
 	}
 	now := time.Now()
-	fl := &flight{id: choice.RequestID(n), req: r, traits: t, class: class, to: c, chunks: req.Minor == 1, taken: now,
+	fl := &flight{id: choice.RequestID(n), req: r, traits: t, repeat: api.IsRepeat(req.Header), class: class, to: c, chunks: req.Minor == 1, taken: now,
 		keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{})}
 	told := api.ClientTime(req.Header)
 	wait := class.Deadline
@@ -314,7 +314,7 @@
 	defer c.fl.Store(nil)
 	due := f.loop.now() + time.Until(fl.due)
 	f.loop.post(item{fl: fl, ev: choice.Request{ID: fl.id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix,
-		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due}})
+		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due, Repeat: fl.repeat, Doubtful: fl.repeat}})
 	left := c.await(fl, backstop)
 	if left {
 		fl.result = "gone"
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -31,6 +31,7 @@
 	id     choice.RequestID
 	req    *api.Request
 	traits api.Traits
+	repeat bool // its client tries again by itself
 	class  *choice.Class
 	to     *client
 	whole  *api.Whole // collects the answer for a client that does not stream
@@ -63,9 +64,16 @@
 	noRetry bool
 }
 
-func refusal(wait time.Duration) answer {
+func refusal(a choice.Refuse) answer {
 	e := &api.Error{Status: 429, Type: "rate_limit_error", Code: "busy", Message: "not now; trying again after the told wait is harmless"}
-	return answer{status: 429, body: e.JSON(), wait: wait}
+	return answer{status: 429, body: e.JSON(), wait: a.Wait, noRetry: a.HandUp}
+}
+
+// repeated answers a repeat that was not begun.
+func repeated() answer {
+	e := &api.Error{Status: 502, Type: "server_error", Code: "earlier_try_may_have_run", Message: "the client repeated this request by itself " +
+		"(X-Stainless-Retry-Count), and an earlier try may have run; this one did not. Find out whether it ran before asking anew"}
+	return answer{status: e.Status, body: e.JSON(), noRetry: true}
 }
 
 // failure promises nothing about effects: where one may have happened, SDKs are told not to retry by themselves.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -51,12 +51,14 @@
   <service fronts="1" max-attempts="6" release-within="500ms" writers-read="true" cancel="true" default-class="ask"/>
   <class name="ask" effect="safe" aim="5s" deadline="10s" late-worth="0.5"/>
   <class name="quick" effect="unsafe" aim="1s" deadline="1s"/>
+  <class name="brief" effect="safe" aim="1s" deadline="1s"/>
   <class name="order" effect="unsafe" aim="5s" deadline="10s"/>
   <class name="book" effect="keyed" window="30s" aim="5s" deadline="10s"/>
   <kind name="reader" role="reader" memory="200000tokens"/>
   <kind name="writer" role="writer" memory="200000tokens"/>
   <model name="m" bytes-per-token="4" max-output="64tokens"/>
   <rule when="header" name="X-Class" equals="quick" class="quick"/>
+  <rule when="header" name="X-Class" equals="brief" class="brief"/>
   <rule when="header" name="X-Class" equals="order" class="order"/>
   <rule when="header" name="X-Class" equals="book" class="book"/>
   <prefix from="system-messages"/>
@@ -212,12 +214,15 @@
 	}
 }
 
-// TestRefusalTellsTheWait: without a writer everything is refused, which the SDK may repeat.
+// TestRefusalTellsTheWait: without a writer everything is refused, which an SDK may repeat by itself unless the class
+// is unsafe: its repeat could not be told from one after a lost answer.
 func TestRefusalTellsTheWait(t *testing.T) {
 	r := newRig(t, "", "reader")
-	resp, text := r.post("quick", chat(true, 5))
-	if resp.StatusCode != 429 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("retry-after-ms") == "" || resp.Header.Get("x-should-retry") != "" {
-		t.Errorf("%d %v %q", resp.StatusCode, resp.Header, text)
+	for class, should := range map[string]string{"brief": "", "quick": "false"} {
+		resp, text := r.post(class, chat(true, 5))
+		if resp.StatusCode != 429 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("retry-after-ms") == "" || resp.Header.Get("x-should-retry") != should {
+			t.Errorf("%s: %d %v %q", class, resp.StatusCode, resp.Header, text)
+		}
 	}
 }
 
@@ -386,7 +391,7 @@
 		var won [3]bool
 		start := make(chan struct{})
 		for i, act := range []func() bool{
-			func() bool { return fl.finish(refusal(time.Second)) },
+			func() bool { return fl.finish(refusal(choice.Refuse{Wait: time.Second})) },
 			att.Begin,
 			func() bool { return fl.state.CompareAndSwap(open, gone) },
 		} {
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -196,11 +196,15 @@
 		l.send(a)
 	case choice.Refuse:
 		if fl := l.flight(a.Request); fl != nil {
-			fl.finish(refusal(a.Wait))
+			fl.finish(refusal(a))
 		}
 	case choice.Fail:
 		if fl := l.flight(a.Request); fl != nil {
-			fl.finish(failure(fl))
+			if a.Earlier {
+				fl.finish(repeated())
+			} else {
+				fl.finish(failure(fl))
+			}
 		}
 	case choice.Cancel:
 		if fl := l.flights[a.Request]; fl != nil && a.Attempt < len(fl.attempts) {
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -33,15 +33,18 @@
 	Wait       time.Duration // the client's time
 	HangUp     time.Duration // leaves after this; 0 = never
 	SlowBy     time.Duration // pause after each read of a stream
+	Marked     bool          // numbers its tries as the published SDKs do
+	Repeats    int           // tries before this one
 }
 
 // Result is how a try ended.
 type Result struct {
-	Kind   string        // served, refused, failed, broken, invalid, cut, hung up, unconnected
+	Kind   string        // served, refused, turned (before it was taken), failed, broken, invalid, cut, hung up, unconnected
 	First  time.Duration // to the first token; 0 = none
 	Took   time.Duration
 	Tokens int
 	Wait   time.Duration // told with a refusal
+	HandUp bool          // told not to repeat by itself
 }
 
 func (t *Try) body() []byte {
@@ -80,6 +83,9 @@
 	if t.Key != "" {
 		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", t.Key)
 	}
+	if t.Marked {
+		fmt.Fprintf(&b, "X-Stainless-Retry-Count: %d\r\n", t.Repeats)
+	}
 	b.WriteString("\r\n")
 	b.Write(body)
 	until := rec.Now() + t.Wait
@@ -188,15 +194,22 @@
 }
 
 func (t *Try) refusal(resp *http.Response) Result {
-	switch {
-	case resp.StatusCode == 429 || resp.StatusCode == 503 && resp.Header.Get("Retry-After") != "":
+	res := Result{Kind: "invalid", HandUp: resp.Header.Get("x-should-retry") == "false"}
+	turned := resp.StatusCode == 503 && resp.Header.Get("Retry-After") != ""
+	if resp.StatusCode == 429 || turned {
 		ms, err := strconv.Atoi(resp.Header.Get("retry-after-ms"))
 		if err != nil {
 			ms = 1000
 		}
-		return Result{Kind: "refused", Wait: time.Duration(ms) * time.Millisecond}
+		res.Wait = time.Duration(ms) * time.Millisecond
+	}
+	switch {
+	case turned:
+		res.Kind = "turned"
+	case resp.StatusCode == 429:
+		res.Kind = "refused"
 	case resp.StatusCode >= 500:
-		return Result{Kind: "failed"}
+		res.Kind = "failed"
 	}
-	return Result{Kind: "invalid"}
+	return res
 }
