roles: a pure planner that shares engines out to reading and writing; a fleet to try it in

Need (issue of engines that change role): mornings bring long prompts, evenings short ones. Change: package roles, free of I/O, clock and goroutines. Five experts look back 5 s to 20 min, each moves a fleet in thought with the time and bounds of real changes, the one that lost least leads; figures that are missing, late, frozen or not finite are no reason to change; a stage without an engine is helped at once; engines that lie or never confirm are left alone. internal/lab/rolesim plays requests one by one in simulated time against fixed splits, the planner and one that sees the future.

--- /dev/null
+++ b/internal/lab/rolesim/policy.go
@@ -0,0 +1,133 @@
+package rolesim
+
+import (
+	"math"
+	"time"
+
+	"brackenbend/roles"
+)
+
+// Fixed keeps so many readers for ever.
+type Fixed int
+
+// Start implements Policy.
+func (f Fixed) Start(*Scenario) int { return int(f) }
+
+// Step implements Policy.
+func (Fixed) Step(time.Duration, []roles.Engine, []roles.Front) roles.Plan { return roles.Plan{} }
+
+// Planned runs the planner of package roles, from a given number of readers.
+type Planned struct {
+	Readers  int
+	Settings roles.Settings
+	p        *roles.Planner
+	Last     roles.Plan
+}
+
+// Start implements Policy.
+func (p *Planned) Start(*Scenario) int {
+	var err error
+	if p.p, err = roles.New(p.Settings); err != nil {
+		panic(err) // settings of a comparison are the program's own
+	}
+	return p.Readers
+}
+
+// Step implements Policy.
+func (p *Planned) Step(now time.Duration, engines []roles.Engine, fronts []roles.Front) roles.Plan {
+	p.Last = p.p.Step(now, engines, fronts)
+	return p.Last
+}
+
+// Seeing knows the work of every second beforehand. It follows the cheapest course of readers under the same prices as
+// the planner, each change begun as long ahead as it takes, with no bound on how often or how many.
+type Seeing struct {
+	Ahead  time.Duration // how long a change takes; 0 = 8 s
+	Price  float64       // of a change; 0 = 10 engine seconds
+	course []int
+}
+
+// Start implements Policy.
+func (p *Seeing) Start(s *Scenario) int {
+	if p.Ahead == 0 {
+		p.Ahead = 8 * time.Second
+	}
+	if p.Price == 0 {
+		p.Price = 10
+	}
+	p.course = cheapest(s, p.Price)
+	return p.course[0]
+}
+
+// cheapest finds the course with the least sum of stage cost and price of changes, by dynamic programming.
+func cheapest(s *Scenario, price float64) []int {
+	n, seconds := s.Engines-1, int(s.Length.Seconds())+1 // states are 1 to n readers
+	cost := make([]float64, n)
+	from := make([][]int32, seconds)
+	for t := range from {
+		from[t] = make([]int32, n)
+		for i := range from[t] {
+			from[t][i] = int32(i)
+		}
+		if t > 0 {
+			for i := 1; i < n; i++ {
+				if v := cost[i-1] + price; v < cost[i] {
+					cost[i], from[t][i] = v, from[t][i-1]
+				}
+			}
+			for i := n - 2; i >= 0; i-- {
+				if v := cost[i+1] + price; v < cost[i] {
+					cost[i], from[t][i] = v, from[t][i+1]
+				}
+			}
+		}
+		a, b := s.Asked(time.Duration(t) * time.Second)
+		for i := range cost {
+			cost[i] += roles.Cost(a*float64(s.Engines), b*float64(s.Engines), i+1, s.Engines-i-1)
+		}
+	}
+	best := 0
+	for i, v := range cost {
+		if v < cost[best] {
+			best = i
+		}
+	}
+	course := make([]int, seconds)
+	for t := seconds - 1; t >= 0; t-- {
+		course[t] = best + 1
+		best = int(from[t][best])
+	}
+	return course
+}
+
+// Step implements Policy.
+func (p *Seeing) Step(now time.Duration, engines []roles.Engine, fronts []roles.Front) roles.Plan {
+	t := min(int(math.Ceil((now + p.Ahead).Seconds())), len(p.course)-1)
+	want := p.course[t]
+	for _, e := range engines {
+		if e.To == roles.Reader {
+			want--
+		}
+	}
+	from, to := roles.Writer, roles.Reader
+	if want < 0 {
+		from, to, want = roles.Reader, roles.Writer, -want
+	}
+	var plan roles.Plan
+	taken := map[string]bool{}
+	for range want {
+		best := -1
+		for i := range engines {
+			e := &engines[i]
+			if e.Role == from && e.To == from && e.Ready && !taken[e.ID] && (best < 0 || e.Held < engines[best].Held) {
+				best = i
+			}
+		}
+		if best < 0 {
+			break
+		}
+		taken[engines[best].ID] = true
+		plan.Changes = append(plan.Changes, roles.Change{ID: engines[best].ID, To: to})
+	}
+	return plan
+}
--- /dev/null
+++ b/roles/pick.go
@@ -0,0 +1,199 @@
+package roles
+
+import (
+	"fmt"
+	"math"
+	"slices"
+)
+
+// steer turns the wanted number of readers into changes of engines, within the stated rate.
+func (p *Planner) steer(f *fleet, plan *Plan) {
+	p.callOff(f, plan)
+	if p.rescue(f, plan) {
+		return
+	}
+	atOnce := p.atOnce(f)
+	if f.moving < atOnce {
+		p.refute(f, plan)
+	}
+	p.settle(f, plan)
+	if len(plan.Changes) > 0 || !f.believed {
+		return
+	}
+	from, to, want := Writer, Reader, plan.Readers-f.readers
+	if want < 0 {
+		from, to, want = Reader, Writer, -want
+	}
+	want -= p.turned(f, plan, to)
+	for range max(min(want, atOnce-f.moving), 0) {
+		e := p.pick(f, from, to, false)
+		if e == nil {
+			return
+		}
+		p.change(f, plan, e, to, p.why(f, "shift"))
+	}
+}
+
+// atOnce is how many engines may be on their way.
+func (p *Planner) atOnce(f *fleet) int {
+	return max(1, int(p.set.AtOnce*float64(f.readers+f.writers+f.both)))
+}
+
+// change begins a move.
+func (p *Planner) change(f *fleet, plan *Plan, e *Engine, to Role, why string) {
+	p.moves[e.ID] = &move{from: e.Role, to: to, since: p.now}
+	plan.Changes = append(plan.Changes, Change{e.ID, to, why})
+	f.count(e.To, -1)
+	f.count(to, 1)
+	e.To = to
+	f.moving++
+}
+
+func (f *fleet) count(r Role, n int) {
+	switch r {
+	case Reader:
+		f.readers += n
+	case Writer:
+		f.writers += n
+	default:
+		f.both += n
+	}
+}
+
+// callOff gives up moves that take too long; the engine is left alone for a while.
+func (p *Planner) callOff(f *fleet, plan *Plan) {
+	for i := range f.engines {
+		e := &f.engines[i]
+		if m := p.moves[e.ID]; m != nil && e.moving() && !m.off && p.now-m.since > p.set.TurnTime {
+			p.off(f, plan, e, m)
+			p.bar(e.ID)
+		}
+	}
+}
+
+func (p *Planner) off(f *fleet, plan *Plan, e *Engine, m *move) {
+	m.off = true
+	plan.CallOff = append(plan.CallOff, e.ID)
+	f.count(e.To, -1)
+	f.count(e.Role, 1)
+	f.moving--
+	e.To = e.Role
+}
+
+// turned calls off moves away from the role that is wanted now, rather than move others; it tells how many.
+func (p *Planner) turned(f *fleet, plan *Plan, to Role) (n int) {
+	want := plan.Readers - f.readers
+	if want < 0 {
+		want = -want
+	}
+	for i := range f.engines {
+		e := &f.engines[i]
+		if m := p.moves[e.ID]; n < want && m != nil && !m.off && e.moving() && e.Role == to && e.To != Both {
+			p.off(f, plan, e, m)
+			n++
+		}
+	}
+	return n
+}
+
+// rescue keeps at least one reader and one writer: where a stage has no engine at all, the one that can do it changes
+// now, whatever the figures say and however short it has stayed. The last engine of a stage does both.
+func (p *Planner) rescue(f *fleet, plan *Plan) bool {
+	if f.both > 0 || f.readers > 0 && f.writers > 0 {
+		return false
+	}
+	from, to := Writer, Reader
+	if f.writers == 0 {
+		from, to = Reader, Writer
+	}
+	have := max(f.readers, f.writers)
+	if have == 0 {
+		return false
+	}
+	if have == 1 {
+		to = Both
+	}
+	if e := p.pick(f, from, to, true); e != nil {
+		p.change(f, plan, e, to, fmt.Sprintf("nothing is left to %s", map[Role]string{Reader: "write", Writer: "read"}[from]))
+		return true
+	}
+	return false
+}
+
+// settle gives engines that do both one role again once each stage has an engine of its own.
+func (p *Planner) settle(f *fleet, plan *Plan) {
+	if f.readers+f.writers < 1 || f.moving > 0 {
+		return
+	}
+	e := p.pick(f, Both, Both, false)
+	if e == nil {
+		return
+	}
+	switch {
+	case f.readers == 0:
+		p.change(f, plan, e, Reader, "the other stage has engines again")
+	case f.writers == 0:
+		p.change(f, plan, e, Writer, "the other stage has engines again")
+	case f.believed && f.reading/float64(f.readers) > f.writing/float64(f.writers):
+		p.change(f, plan, e, Reader, p.why(f, "each stage has engines again"))
+	default:
+		p.change(f, plan, e, Writer, p.why(f, "each stage has engines again"))
+	}
+}
+
+// refute finds an engine that says that it changed and does nothing of its new stage while its peers are at work, and
+// gives it its old role back.
+func (p *Planner) refute(f *fleet, plan *Plan) {
+	if !f.believed {
+		return
+	}
+	for i := range f.engines {
+		e := &f.engines[i]
+		m := p.meters[e.ID]
+		age, proven := p.now-e.Changed, max(proveWithin, p.set.MinStay)
+		if !e.free() || !e.Ready || e.moving() || e.Role == Both || !m.believed || e.Changed == 0 || age < proven || age > 3*proven || p.barred(e.ID) {
+			continue
+		}
+		does, mean, back, peers := m.read, f.reading/float64(max(f.readers, 1)), Writer, f.readers
+		if e.Role == Writer {
+			does, mean, back, peers = m.write, f.writing/float64(max(f.writers, 1)), Reader, f.writers
+		}
+		if peers > 1 && mean > provePeers && does < proveIdle*mean {
+			p.bar(e.ID)
+			p.change(f, plan, e, back, fmt.Sprintf("does nothing as %v (%.3f of %.2f) while its peers do", e.Role, does, mean))
+			return
+		}
+	}
+}
+
+// pick finds the engine that changes from one role to another with the least harm: where its role is crowded against the
+// other, then with the least held, then the one that has stayed longest. In need the stated rate does not bind.
+func (p *Planner) pick(f *fleet, from, to Role, need bool) *Engine {
+	crowd := map[int]float64{}
+	for i := range f.engines {
+		switch e := &f.engines[i]; {
+		case !e.Ready:
+		case e.To == from:
+			crowd[e.Place]++
+		case e.To == to:
+			crowd[e.Place]--
+		}
+	}
+	var best *Engine
+	var bestRank [3]float64
+	for i := range f.engines {
+		e := &f.engines[i]
+		if e.To != from || !e.free() || !e.Ready || e.moving() || p.moves[e.ID] != nil {
+			continue
+		}
+		stayed := p.now - e.Changed
+		if !need && (p.barred(e.ID) || e.Changed > 0 && stayed < p.set.MinStay) {
+			continue
+		}
+		rank := [3]float64{-crowd[e.Place], float64(e.Held), -math.Min(stayed.Seconds(), 86400)}
+		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
+			best, bestRank = e, rank
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/roles/roles.go
@@ -0,0 +1,137 @@
+// Package roles decides which engines read prompts, which write answers and which do both, where engines can do
+// either. It is free of I/O, clock and goroutines: Step takes what the fleet shows and returns the changes to be made
+// now. plan.go decides how many, pick.go which, meter.go what of the figures is believed; life.go is the life cycle of
+// one change between planner, register and engine. docs/roles.md has the law, its bounds and what was weighed.
+//
+// Nothing here knows a deployment: work is counted in engines, as the time that engines were at work on a stage, so that
+// a reader that is busy half of the time is half an engine of reading, whatever its speed.
+package roles
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Role is what an engine does.
+type Role uint8
+
+// The roles.
+const (
+	Reader Role = iota // reads prompts
+	Writer             // writes answers
+	Both               // reads and writes
+)
+
+func (r Role) String() string {
+	if r > Both {
+		return fmt.Sprintf("role %d", uint8(r))
+	}
+	return [...]string{"reader", "writer", "both"}[r]
+}
+
+// ParseRole is the inverse of String.
+func ParseRole(s string) (Role, error) {
+	for r := Reader; r <= Both; r++ {
+		if r.String() == s {
+			return r, nil
+		}
+	}
+	return 0, fmt.Errorf("roles: unknown role %q: reader, writer or both", s)
+}
+
+// Reads tells whether the role takes prompts to read.
+func (r Role) Reads() bool { return r != Writer }
+
+// Writes tells whether the role takes answers to write.
+func (r Role) Writes() bool { return r != Reader }
+
+// Settings are what operators state. A zero figure means its documented default.
+type Settings struct {
+	MinStay    time.Duration // the stated rate: no engine changes sooner after its last change; 0 = 60 s
+	AtOnce     float64       // part of the fleet that may be on the way at once, one engine at least; 0 = 0.1
+	ChangeTime time.Duration // what a change takes until it has been seen: drained, switched, half warm; 0 = 10 s
+	Warm       time.Duration // of it, what comes after the engine says that it changed; 0 = 3 s
+	StaleAfter time.Duration // an older report counts as none; 0 = 5 s
+	TurnTime   time.Duration // a change that was begun and is not confirmed by then is called off; 0 = 2 min
+}
+
+// Validate names the first field that can't be served.
+func (s Settings) Validate() error {
+	for _, f := range []struct {
+		name string
+		d    time.Duration
+	}{{"MinStay", s.MinStay}, {"ChangeTime", s.ChangeTime}, {"Warm", s.Warm}, {"StaleAfter", s.StaleAfter}, {"TurnTime", s.TurnTime}} {
+		if f.d < 0 {
+			return fmt.Errorf("roles: settings: %s: negative time %v", f.name, f.d)
+		}
+	}
+	if !(s.AtOnce >= 0 && s.AtOnce <= 1) {
+		return errors.New("roles: settings: AtOnce: a part from 0 to 1 is needed")
+	}
+	return nil
+}
+
+// Engine is one engine as the planner sees it.
+type Engine struct {
+	ID       string
+	Role     Role // in force, as listed
+	To       Role // what it is on its way to; = Role when it stays
+	Changed  time.Duration
+	Ready    bool // listed, up, and not taken out by an operator
+	CanRead  bool
+	CanWrite bool
+	Pinned   bool // an operator holds it where it is
+	Place    int  // its cell; roles are spread over places
+	Held     int  // requests and states that a change would have to wait for
+	Report   *Report
+}
+
+// moving tells that a change is under way.
+func (e *Engine) moving() bool { return e.To != e.Role }
+
+// free tells that the planner may give the engine either role.
+func (e *Engine) free() bool { return e.CanRead && e.CanWrite && !e.Pinned }
+
+// Report is what an engine tells of its work. The totals only grow while its process lives.
+type Report struct {
+	At    time.Duration // by the planner's clock
+	Read  Stage
+	Write Stage
+}
+
+// Stage is one stage's work at an engine or a front, in seconds of a whole engine.
+type Stage struct {
+	Done    float64 // total of the work done; for writing, the used part of its room (slots or memory) over time
+	Waiting float64 // of what is queued here now
+	Lost    float64 // total of the work that was turned away, refused, or given up as too late
+}
+
+// Front is what one front tells: the work that it had to refuse, which no engine ever saw. Fronts that say nothing, or
+// nothing believable, are left out; the plan is then made of what engines show, and sees less of an overload.
+type Front struct {
+	ID     string
+	Report *Report
+}
+
+// Change is one engine to be given another role.
+type Change struct {
+	ID  string
+	To  Role
+	Why string // for logs: the figures that made it
+}
+
+// Plan is what Step decides, with what it saw.
+type Plan struct {
+	Changes []Change
+	CallOff []string // changes under way that no longer help: to be told back to the role in force
+
+	Believed   bool    // the figures were enough to plan by; else nothing changes but for a stage without any engine
+	Reading    float64 // work that is asked for, in engines
+	Writing    float64
+	Readers    int           // wanted
+	Memory     time.Duration // how long the expert that leads looks back
+	Engines    int           // that are shared out
+	Unbelieved int           // reports that were missing, stale, frozen or not finite
+	ChangeTime time.Duration // what a change takes, as seen
+}
