--- a/internal/day/day.go
+++ b/internal/day/day.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brackenbend/internal/config"
+	"brackenbend/roles"
 )
 
 // Day is a scripted day.
@@ -24,6 +25,7 @@
 	Fronts   int           `cfg:"fronts,required"`
 	Dialect  string        `cfg:"dialect,enum=vllm|extended"` // of the engines; none = extended
 	Service  *Service      `cfg:"service,required"`
+	Planner  *Planner      `cfg:"planner"` // of engines that change role; none = roles stay
 	Kinds    []Kind        `cfg:"engines,required"`
 	Classes  []Class       `cfg:"class,required"`
 	Tenants  []Tenant      `cfg:"tenant"`
@@ -46,10 +48,28 @@
 	Retries     int           `cfg:"client-retries"`
 }
 
+// Planner shares out engines of kinds that shift.
+type Planner struct {
+	config.Pos
+	Count      int           `cfg:"count"` // planners at once; 0 = 1
+	Every      time.Duration `cfg:"every"`
+	MinStay    time.Duration `cfg:"min-stay"`
+	AtOnce     float64       `cfg:"at-once"`
+	ChangeTime time.Duration `cfg:"change-time"`
+	Warm       time.Duration `cfg:"warm"`
+	TurnTime   time.Duration `cfg:"turn-time"`
+	Switch     time.Duration `cfg:"switch"` // of an empty engine; 0 = 1 s
+}
+
+func (p *Planner) settings() roles.Settings {
+	return roles.Settings{MinStay: p.MinStay, AtOnce: p.AtOnce, ChangeTime: p.ChangeTime, Warm: p.Warm, TurnTime: p.TurnTime}
+}
+
 // Kind is a group of engines that are alike.
 type Kind struct {
 	config.Pos
 	Name      string        `cfg:"kind,required"`
+	Shifts    bool          `cfg:"shifts"` // they may take the role of the other kind that shifts
 	Role      string        `cfg:"role,required,enum=reader|writer|mixed"`
 	Count     int           `cfg:"count,required"`
 	Slots     int           `cfg:"slots,required"`
@@ -94,12 +114,12 @@
 	config.Pos
 	At     time.Duration `cfg:"at,required"`
 	For    time.Duration `cfg:"for"`
-	What   string        `cfg:"what,required,enum=front-kill|front-stop|crash|fail-fast|fail-class|stall|slow|refuse-connects|reset-mid-stream|reset-after-request|reset-after-effect|fail-after-effect|stall-after-effect|forget|silent-restart|drain|remove|register-cut|register-late|register-flap|register-compact|register-stale|reports-frozen|reports-none|surge|overlong|hot-prefix|hang-ups|slow-readers"`
+	What   string        `cfg:"what,required,enum=front-kill|front-stop|crash|fail-fast|fail-class|stall|slow|refuse-connects|reset-mid-stream|reset-after-request|reset-after-effect|fail-after-effect|stall-after-effect|forget|silent-restart|drain|remove|register-cut|register-late|register-flap|register-compact|register-stale|reports-frozen|reports-none|surge|overlong|hot-prefix|hang-ups|slow-readers|mix|planner-stop|liar"`
 	Kind   string        `cfg:"kind"`   // of engines; none = any
-	Class  string        `cfg:"class"`  // for fail-class and overlong
+	Class  string        `cfg:"class"`  // for fail-class, overlong and mix
 	Count  int           `cfg:"count"`  // of engines or fronts; 0 = 1
 	Part   float64       `cfg:"part"`   // of engines, or of requests
-	Factor float64       `cfg:"factor"` // for slow, surge and overlong
+	Factor float64       `cfg:"factor"` // for slow, surge, overlong, and mix: times the share of the class
 	Late   time.Duration `cfg:"late"`   // for register-late
 }
 
@@ -168,6 +188,26 @@
 			report(k.Pos, `add step="20ms" and fetch-rate="200000/s"`, "<engines kind=%q> write without step or fetch-rate", k.Name)
 		}
 	}
+	shifting := map[string]int{}
+	for _, k := range d.Kinds {
+		if k.Shifts {
+			shifting[k.Role]++
+		}
+	}
+	if len(shifting) > 0 && (shifting["reader"] != 1 || shifting["writer"] != 1 || len(shifting) != 2) {
+		report(d.Pos, `give shifts="true" to one kind with role="reader" and one with role="writer"`, "kinds that shift: %v", shifting)
+	}
+	if d.Planner != nil && len(shifting) == 0 {
+		report(d.Planner.Pos, `add shifts="true" to the kinds whose engines may change role`, "a <planner> and no kind that shifts")
+	}
+	if d.Planner != nil {
+		if err := d.Planner.settings().Validate(); err != nil {
+			report(d.Planner.Pos, "correct the figure", "%v", err)
+		}
+		if d.Planner.Count < 0 || d.Planner.Count > 8 {
+			report(d.Planner.Pos, "write 1 to 8", "%d planners", d.Planner.Count)
+		}
+	}
 	if engines > 200 {
 		report(d.Pos, "lower the counts", "%d engines, 200 at most", engines)
 	}
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -20,6 +20,7 @@
 	Attempts map[string]int  `json:"attempts"` // as the engines saw them
 	Rules    []audit.Verdict `json:"rules"`
 	Expected float64         `json:"expected_service,omitempty"`
+	Roles    []RoleSecond    `json:"roles,omitempty"` // where engines change role
 	Events   []audit.Event   `json:"-"`
 }
 
@@ -73,6 +74,9 @@
 	r.mu.Lock()
 	rep.Rules[0].Breaches = append(rep.Rules[0].Breaches, r.deaths...)
 	r.mu.Unlock()
+	if r.planners != nil {
+		rep.Roles = r.planners.seen
+	}
 	if r.d.Expected != nil {
 		rep.Expected = r.d.Expected.Service
 	}
@@ -109,6 +113,15 @@
 	}
 	fmt.Fprintf(w, "attempts seen by engines: %d reads, %d writes; %d took effect, %d repeats were dropped\n\n",
 		r.Attempts["read"], r.Attempts["write"], r.Attempts["ran"], r.Attempts["repeat dropped"])
+	if n := len(r.Roles); n > 0 {
+		first, last := r.Roles[0], r.Roles[n-1]
+		most := 0
+		for _, s := range r.Roles {
+			most = max(most, s.Changing)
+		}
+		fmt.Fprintf(w, "roles: %d readers and %d writers at the start, %d and %d at the end; %d orders, %d on their way at once at most\n\n",
+			first.Readers, first.Writers, last.Readers, last.Writers, last.Orders, most)
+	}
 	fmt.Fprintf(w, "worst scheduling lag of this process %.0f ms; drains and pinned state are judged with 50 ms and twice that to spare\n", r.LagMS)
 	for i, v := range r.Rules {
 		fmt.Fprintf(w, "rule %d, %s: %d checks, %d breaches", i+1, v.Rule, v.Checks, len(v.Breaches))
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -53,6 +53,8 @@
 	slow      float64
 	deaths    []string               // fronts that ended by themselves
 	faulty    map[*engine.Server]int // faults set, so that overlapping ones end in order
+	mix       map[string]float64     // times the shares of classes
+	planners  *planners              // nil where roles stay
 }
 
 // process is a front's process.
@@ -66,7 +68,7 @@
 // Run plays a day and judges it.
 func Run(ctx context.Context, d *Day, o Options) (*Report, error) {
 	r := &run{d: d, o: o, rec: audit.NewRecord(), rnd: rand.New(rand.NewPCG(uint64(d.Seed), 1)), kindOf: map[*engine.Server]string{},
-		listed: map[string]bool{}, draining: map[string]bool{}, surge: 1, faulty: map[*engine.Server]int{}}
+		listed: map[string]bool{}, draining: map[string]bool{}, surge: 1, faulty: map[*engine.Server]int{}, mix: map[string]float64{}}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -74,6 +76,10 @@
 	if err := r.ready(ctx); err != nil {
 		return nil, err
 	}
+	if r.planners != nil {
+		r.planners.start()
+		defer r.planners.stop()
+	}
 	stopLag := r.watchLag()
 	t := newTraffic(r)
 	began := time.Now()
@@ -129,10 +135,14 @@
 		window = max(window, c.Window)
 	}
 	group := &engine.Group{Window: window}
+	shift := r.shifting()
 	for _, k := range r.d.Kinds {
 		for i := range k.Count {
 			cfg := engine.Config{Name: fmt.Sprintf("%s-%d", k.Name, i+1), Kind: k.Name, Zone: "zone-1", Cell: fmt.Sprintf("cell-%d", i%2),
 				Params: r.params(&k), Plain: r.d.Dialect == "vllm", CancelStops: r.d.Service.CancelStops, Group: group, Record: r.rec, Changed: r.listEngine}
+			if k.Shifts {
+				shift.join(&cfg, k.Role)
+			}
 			addr, err := loopback.Address()
 			if err != nil {
 				return err
@@ -145,6 +155,9 @@
 			r.kindOf[s] = k.Name
 		}
 	}
+	if shift.kinds != nil && r.d.Planner != nil {
+		r.planners = newPlanners(r)
+	}
 	for i := range r.d.Fronts {
 		p, err := r.newFront(i)
 		if err != nil {
@@ -225,6 +238,9 @@
 	}
 	for _, k := range r.d.Kinds {
 		fmt.Fprintf(&b, "  <kind name=%q role=%q memory=\"%vtokens\"/>\n", esc(k.Name), k.Role, float64(k.Memory))
+		if k.Shifts && k.Role == "writer" {
+			fmt.Fprintf(&b, "  <kind name=%q role=\"mixed\" memory=\"%vtokens\"/>\n", kindBoth, float64(k.Memory))
+		}
 	}
 	b.WriteString("  <model name=\"day\" bytes-per-token=\"4\" max-output=\"512tokens\"/>\n  <session from=\"header\" name=\"X-Session-Id\"/>\n  <prefix from=\"system-messages\"/>\n")
 	fmt.Fprintf(&b, "  <engines dialect=%q dial-time=\"500ms\"/>\n", r.d.Dialect)
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -87,6 +87,18 @@
 		r.logf("register forgets its history")
 		r.reg.Compact()
 		return nil
+	case "planner-stop":
+		if r.planners == nil {
+			return nil
+		}
+		r.logf("planners stop for %v", h.For)
+		r.planners.stop()
+		return r.planners.start
+	case "mix":
+		r.logf("mix: %s times %v for %v", h.Class, h.Factor, h.For)
+		set := func(v float64) { r.mu.Lock(); r.mix[h.Class] = v; r.mu.Unlock() }
+		set(cmp.Or(h.Factor, 1))
+		return func() { set(1) }
 	case "surge", "overlong", "hot-prefix", "hang-ups", "slow-readers":
 		r.logf("%s for %v", h.What, h.For)
 		return r.traffic(h)
@@ -156,6 +168,9 @@
 		return set(engine.Faults{Frozen: true})
 	case "reports-none":
 		return set(engine.Faults{NoReports: true})
+	case "liar":
+		s.Lie(true)
+		return func() { s.Lie(false) }
 	case "forget":
 		s.Forget()
 	case "silent-restart":
--- a/internal/day/traffic.go
+++ b/internal/day/traffic.go
@@ -97,7 +97,17 @@
 func (t *traffic) session() {
 	rnd := rand.New(rand.NewPCG(t.rnd.Uint64(), 3))
 	d := t.r.d
-	ci := draw(rnd.Float64(), len(d.Classes), func(i int) float64 { return d.Classes[i].Share * 1 })
+	shares, all := make([]float64, len(d.Classes)), 0.0
+	t.r.mu.Lock()
+	for i, c := range d.Classes {
+		shares[i] = c.Share
+		if v, ok := t.r.mix[c.Name]; ok {
+			shares[i] *= v
+		}
+		all += shares[i]
+	}
+	t.r.mu.Unlock()
+	ci := draw(rnd.Float64(), len(d.Classes), func(i int) float64 { return shares[i] / all })
 	ti := -1
 	if len(d.Tenants) > 0 {
 		ti = draw(rnd.Float64(), len(d.Tenants), func(i int) float64 { return d.Tenants[i].Share })
--- /dev/null
+++ b/internal/planner/planner.go
@@ -0,0 +1,317 @@
+// Package planner runs the planner of engine roles (package roles) against a register and engines on sockets: it reads
+// the book, asks the engines how they stand, writes what the planner decides and tells it to the engines. It decides
+// nothing. Any number of planners may run: each write names the version of the book that it was made from.
+package planner
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brackenbend/roles"
+)
+
+// Path is where engines are asked and told (GET and POST), and PathBook where the register keeps the book (GET, PUT).
+const (
+	Path     = "/v1/brackenbend/role"
+	PathBook = "/v1/brackenbend/roles"
+)
+
+// Stage is roles.Stage as engines tell it: totals in seconds of the whole engine.
+type Stage struct {
+	Done    float64 `json:"done"`
+	Waiting float64 `json:"waiting"`
+	Lost    float64 `json:"lost"`
+}
+
+// Status is an engine's answer.
+type Status struct {
+	roles.Word
+	Held  int   `json:"held"` // requests and states that it holds
+	Read  Stage `json:"read"`
+	Write Stage `json:"write"`
+}
+
+// Listing is one engine as the register lists it, beside the book.
+type Listing struct {
+	Address string `json:"address"`
+	Place   string `json:"place"`
+	Up      bool   `json:"up"`
+}
+
+// View is what the register answers: the book, and where the engines are.
+type View struct {
+	Book     roles.Book         `json:"book"`
+	Listings map[string]Listing `json:"listings"`
+}
+
+// Client speaks to a register's book.
+type Client struct {
+	URL  string
+	HTTP *http.Client
+}
+
+// maxReply bounds what is read of any answer.
+const maxReply = 16 << 20
+
+func (c *Client) do(ctx context.Context, method, url string, body, into any) error {
+	var b io.Reader
+	if body != nil {
+		text, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		b = bytes.NewReader(text)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, b)
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, maxReply))
+	switch {
+	case err != nil:
+		return err
+	case resp.StatusCode == http.StatusConflict:
+		return roles.ErrStale
+	case resp.StatusCode != http.StatusOK:
+		return fmt.Errorf("%s %s: answered %d: %.200s", method, url, resp.StatusCode, bytes.TrimSpace(text))
+	}
+	return json.Unmarshal(text, into)
+}
+
+// View reads the book.
+func (c *Client) View(ctx context.Context) (v View, err error) {
+	err = c.do(ctx, http.MethodGet, strings.TrimSuffix(c.URL, "/")+PathBook, nil, &v)
+	return v, err
+}
+
+// Write writes a book made from the version that it names; roles.ErrStale if the register has moved on.
+func (c *Client) Write(ctx context.Context, b roles.Book) (held roles.Book, err error) {
+	err = c.do(ctx, http.MethodPut, strings.TrimSuffix(c.URL, "/")+PathBook, b, &held)
+	return held, err
+}
+
+// Update reads the book, lets change make another of it and writes that, again from the start where another writer came
+// first, a few times. It is what operators' commands use.
+func (c *Client) Update(ctx context.Context, change func(roles.Book) (roles.Book, error)) (roles.Book, error) {
+	for try := 0; ; try++ {
+		v, err := c.View(ctx)
+		if err != nil {
+			return v.Book, err
+		}
+		b, err := change(v.Book)
+		if err != nil {
+			return v.Book, err
+		}
+		held, err := c.Write(ctx, b)
+		if !errors.Is(err, roles.ErrStale) || try == 5 {
+			return held, err
+		}
+	}
+}
+
+// Runner is a planner at work.
+type Runner struct {
+	Register Client
+	Settings roles.Settings
+	Every    time.Duration // between looks; 0 = 1 s
+	AtOnce   int           // engines asked at once; 0 = 32
+	Log      *zap.Logger
+	Planned  func(roles.Plan) // after each look; may be nil
+
+	p      *roles.Planner
+	start  time.Time
+	places map[string]int
+	words  map[string]Status
+}
+
+// epoch is the runner's time at its start, so that what happened before it has a time as well.
+const epoch = 24 * time.Hour
+
+// clock is a planner's time. Times in the book are of the wall clock, so that they outlive planners.
+func (r *Runner) now() time.Duration { return epoch + time.Since(r.start) }
+
+// Run looks at the fleet until ctx ends. A register or engines that do not answer are no reason to end, nor to change
+// anything.
+func (r *Runner) Run(ctx context.Context) error {
+	var err error
+	if r.p, err = roles.New(r.Settings); err != nil {
+		return err
+	}
+	if r.Every == 0 {
+		r.Every = time.Second
+	}
+	if r.AtOnce == 0 {
+		r.AtOnce = 32
+	}
+	r.start, r.places = time.Now(), map[string]int{}
+	tick := time.NewTicker(r.Every)
+	defer tick.Stop()
+	for {
+		if err := r.look(ctx); err != nil && ctx.Err() == nil {
+			r.Log.Warn("no plan", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// look is one round: read, ask, hear, plan, write, tell.
+func (r *Runner) look(ctx context.Context) error {
+	ctx, stop := context.WithTimeout(ctx, 5*r.Every)
+	defer stop()
+	v, err := r.Register.View(ctx)
+	if err != nil {
+		return err
+	}
+	at := r.ask(ctx, v)
+	book, settled := v.Book, false
+	for _, id := range ids(book) {
+		if st, ok := r.words[id]; ok {
+			var changed bool
+			book, changed = book.Heard(id, st.Word, wall())
+			settled = settled || changed
+		}
+	}
+	plan := r.p.Step(r.now(), r.engines(v, at), nil)
+	if r.Planned != nil {
+		r.Planned(plan)
+	}
+	changed := settled
+	for _, id := range plan.CallOff {
+		if b, err := book.CallOff(id, "it took too long, or the work turned"); err == nil {
+			book, changed = b, true
+			r.Log.Info("called off", zap.String("engine", id))
+		}
+	}
+	for _, c := range plan.Changes {
+		b, err := book.Begin(c.ID, c.To, c.Why)
+		if err != nil {
+			r.Log.Warn("change refused", zap.String("engine", c.ID), zap.Error(err))
+			continue
+		}
+		book, changed = b, true
+		r.Log.Info("change", zap.String("engine", c.ID), zap.Stringer("to", c.To), zap.String("why", c.Why))
+	}
+	if changed {
+		if book, err = r.Register.Write(ctx, book); err != nil {
+			return err // nothing is told that is not written
+		}
+	}
+	r.tell(ctx, v, book)
+	return nil
+}
+
+func ids(b roles.Book) []string {
+	out := make([]string, 0, len(b.Entries))
+	for id := range b.Entries {
+		out = append(out, id)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// wall is the wall clock as the book keeps it.
+func wall() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
+// engines makes the planner's view: what the book says, what the engines said.
+func (r *Runner) engines(v View, at time.Duration) []roles.Engine {
+	var out []roles.Engine
+	for _, id := range ids(v.Book) {
+		b, l := v.Book.Entries[id], v.Listings[id]
+		if _, ok := r.places[l.Place]; !ok {
+			r.places[l.Place] = len(r.places)
+		}
+		e := roles.Engine{ID: id, Role: b.Role, To: b.To, Ready: l.Up && b.Open, CanRead: b.Reads, CanWrite: b.Writes, Pinned: b.Pinned,
+			Place: r.places[l.Place]}
+		if !b.Open && b.To == b.Role { // on its way back
+			e.Ready = false
+		}
+		if b.Changed > 0 {
+			e.Changed = max(r.now()-max(wall()-b.Changed, 0), 1)
+		}
+		if st, ok := r.words[id]; ok && l.Up {
+			e.Held = st.Held
+			e.Report = &roles.Report{At: at, Read: roles.Stage(st.Read), Write: roles.Stage(st.Write)}
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// ask asks every engine that is up how it stands; it gives the time of the answers.
+func (r *Runner) ask(ctx context.Context, v View) time.Duration {
+	ctx, stop := context.WithTimeout(ctx, 2*r.Every)
+	defer stop()
+	var mu sync.Mutex
+	words := map[string]Status{}
+	r.each(v, func(id, url string) {
+		var st Status
+		if err := r.Register.do(ctx, http.MethodGet, url, nil, &st); err != nil {
+			r.Log.Debug("an engine does not answer", zap.String("engine", id), zap.Error(err))
+			return
+		}
+		mu.Lock()
+		words[id] = st
+		mu.Unlock()
+	})
+	r.words = words
+	return r.now()
+}
+
+// each calls f for the engines that are up, a few at once.
+func (r *Runner) each(v View, f func(id, url string)) {
+	room := make(chan struct{}, r.AtOnce)
+	var wg sync.WaitGroup
+	for _, id := range ids(v.Book) {
+		l := v.Listings[id]
+		if !l.Up {
+			continue
+		}
+		room <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer func() { <-room; wg.Done() }()
+			f(id, "http://"+l.Address+Path)
+		}()
+	}
+	wg.Wait()
+}
+
+// tell repeats every order that is not settled.
+func (r *Runner) tell(ctx context.Context, v View, b roles.Book) {
+	tells := map[string]roles.Tell{}
+	for _, t := range b.Tells() {
+		tells[t.ID] = t
+	}
+	if len(tells) == 0 {
+		return
+	}
+	r.each(v, func(id, url string) {
+		if t, ok := tells[id]; ok {
+			var st Status
+			if err := r.Register.do(ctx, http.MethodPost, url, t, &st); err != nil {
+				r.Log.Info("an order was not heard, it is told again", zap.String("engine", id), zap.Error(err))
+			}
+		}
+	})
+}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -20,7 +20,9 @@
 	"time"
 
 	"brackenbend/internal/audit"
+	"brackenbend/internal/planner"
 	"brackenbend/internal/standin/model"
+	"brackenbend/roles"
 )
 
 // Config describes a stand-in.
@@ -32,6 +34,10 @@
 	Group                  *Group
 	Record                 *audit.Record // may be nil
 	Changed                func(*Server) // its process started or ended; may be nil
+
+	Roles  map[roles.Role]model.Params // that it can take; empty = it keeps its Params
+	Seat   roles.Seat                  // as its disk has it at its first start
+	Switch time.Duration               // from empty to serving in another role
 }
 
 // Group is the set of engines that drops repeats of keyed requests.
@@ -93,6 +99,10 @@
 	held    map[string]bool      // states told to the record
 	letGo   map[string]time.Time // reads whose state is not wanted any more, though they may still run or come
 
+	seat      roles.Seat // on its disk: outlives crashes
+	switching bool
+	liar      bool // says that it changed, and did not
+
 	flood      bool
 	beforeTake func()
 	afterRead  func()
@@ -111,6 +121,7 @@
 	if s.cfg.Group == nil {
 		s.cfg.Group = &Group{Window: time.Minute}
 	}
+	s.seat = cfg.Seat
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	if err := s.beginAt(addr, cold); err != nil {
 		return nil, err
@@ -138,7 +149,8 @@
 	s.mu.Lock()
 	s.addr, s.lis, s.up = l.Addr().String(), l, true
 	s.uid++
-	s.m = model.New(s.cfg.Params, s.now(), cold)
+	s.seat, s.switching = s.seat.Empty(), false // a crash emptied it
+	s.m = model.New(s.params(), s.now(), cold)
 	s.m.SetSlow(cmp.Or(s.faults.Slow, 1))
 	s.started = time.Time{}
 	if cold {
@@ -353,6 +365,7 @@
 			s.record(audit.Event{Kind: audit.LetGo, Request: id})
 		}
 	}
+	s.emptied()
 	if s.m.Down() && s.up {
 		s.record(audit.Event{Kind: audit.Fell})
 		go s.Crash()
@@ -365,6 +378,8 @@
 	mux.HandleFunc("POST /v1/completions", s.complete)
 	mux.HandleFunc("POST /v1/brackenbend/release", s.release)
 	mux.HandleFunc("POST /standin/take", s.take)
+	mux.HandleFunc("GET "+planner.Path, s.role)
+	mux.HandleFunc("POST "+planner.Path, s.role)
 	mux.HandleFunc("POST /standin/faults", func(w http.ResponseWriter, r *http.Request) {
 		var f Faults
 		if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
@@ -465,10 +480,14 @@
 		return
 	}
 	j := q.job(id)
+	if s.leaving() {
+		s.turn(w, false)
+		return
+	}
 	s.record(audit.Event{Kind: audit.Arrive, Front: front, Request: id, Write: !j.ReadOnly, Try: q.Metadata["try"]})
 	defer s.record(audit.Event{Kind: audit.End, Request: id})
 	s.mu.Lock()
-	f := s.faults
+	f, p := s.faults, s.params()
 	s.arrivals++
 	s.mu.Unlock()
 	switch {
@@ -481,11 +500,8 @@
 	case rand.Float64() < f.ResetHead:
 		reset(w)
 		return
-	case j.ReadOnly && !s.cfg.Params.Reads || !j.ReadOnly && !s.cfg.Params.Writes:
-		s.turn(w, false)
-		return
-	case j.FetchState == 0 && !j.ReadOnly && !s.cfg.Params.Reads && s.cfg.Params.ReadRate == 0:
-		s.turn(w, true)
+	case j.ReadOnly && !p.Reads || !j.ReadOnly && !p.Writes || j.FetchState == 0 && !j.ReadOnly && !p.Reads:
+		s.turn(w, j.FetchState == 0 && !j.ReadOnly && p.Writes)
 		return
 	}
 	run := &run{s: s, j: j, q: &q, r: r, w: w, faults: f, wake: make(chan struct{}, 1)}
@@ -537,7 +553,7 @@
 	x.j.Lost = func() { x.lost = true; x.poke() }
 	x.s.mu.Lock()
 	defer x.s.mu.Unlock()
-	ok := x.s.up && x.s.m.Submit(x.s.now(), x.j)
+	ok := x.s.up && !x.s.turned() && x.s.m.Submit(x.s.now(), x.j)
 	x.s.plan()
 	return ok
 }
--- /dev/null
+++ b/internal/standin/engine/role.go
@@ -0,0 +1,95 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"brackenbend/internal/planner"
+	"brackenbend/internal/standin/model"
+	"brackenbend/roles"
+)
+
+// params are those of the role in force. s.mu is held.
+func (s *Server) params() model.Params {
+	if p, ok := s.cfg.Roles[s.seat.Role]; ok {
+		return p
+	}
+	return s.cfg.Params
+}
+
+// leaving tells that the engine takes no new work, since it is on its way to another role.
+func (s *Server) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.turned()
+}
+
+// turned tells the same. s.mu is held.
+func (s *Server) turned() bool { return s.switching || !s.seat.Word().Serves }
+
+// emptied begins the switch once nothing is left of the old role. s.mu is held.
+func (s *Server) emptied() {
+	if s.switching || s.seat.Word().Serves || s.m.Working() > 0 || s.m.States() > 0 || !s.up {
+		return
+	}
+	s.switching = true
+	uid := s.uid
+	time.AfterFunc(s.cfg.Switch, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.uid != uid || !s.up { // it crashed meanwhile, and came back in its new role
+			return
+		}
+		was := s.params()
+		s.seat, s.switching = s.seat.Empty(), false
+		p := s.params()
+		if s.liar {
+			p = was
+		}
+		w := s.m.Work()
+		s.m = model.New(p, s.now(), true)
+		s.m.Resume(w)
+		s.started = time.Now()
+		s.plan()
+	})
+}
+
+// Lie lets the engine say that it changed when it did not.
+func (s *Server) Lie(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.liar = on
+}
+
+// Seat is the engine's part in a change of role.
+func (s *Server) Seat() roles.Seat {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.seat
+}
+
+// role answers a planner: it takes an order where one comes, and tells how the engine stands.
+func (s *Server) role(w http.ResponseWriter, r *http.Request) {
+	var t roles.Tell
+	if r.Method == http.MethodPost {
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096)).Decode(&t); err != nil || t.To > roles.Both {
+			http.Error(w, `{"error":{"message":"an order is {\"id\":...,\"order\":...,\"to\":...}","type":"invalid_request_error"}}`, http.StatusBadRequest)
+			return
+		}
+	}
+	s.mu.Lock()
+	if _, can := s.cfg.Roles[t.To]; r.Method == http.MethodPost && can && t.ID == s.cfg.Name {
+		s.seat = s.seat.Take(t)
+	}
+	s.m.Advance(s.now())
+	s.plan()
+	k := s.m.Work()
+	reply := planner.Status{Word: s.seat.Word(), Held: s.m.Working() + s.m.States(),
+		Read:  planner.Stage{Done: k.ReadDone, Waiting: k.ReadWaiting, Lost: k.ReadLost},
+		Write: planner.Stage{Done: k.WriteDone, Waiting: k.WriteWaiting, Lost: k.WriteLost}}
+	reply.Serves = !s.turned()
+	s.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(reply)
+}
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -78,6 +78,41 @@
 	keptSum float64
 	down    bool
 	sent    []sending // in the last window, while cold
+	work    Work
+}
+
+// Work is what an engine has done and lost at each stage since its start, in seconds of the whole engine at full
+// capacity; of writing, the part of its slots in use over time. Waiting is of what is queued now.
+type Work struct {
+	ReadDone, ReadWaiting, ReadLost    float64
+	WriteDone, WriteWaiting, WriteLost float64
+}
+
+// Work tells what was done up to now.
+func (e *Engine) Work() Work {
+	w := e.work
+	for _, j := range append(slices.Clone(e.queue), e.running...) {
+		switch read, write := e.needs(j); {
+		case j.state == waiting:
+			w.ReadWaiting += read
+			w.WriteWaiting += write
+		case j.state == reading:
+			w.ReadWaiting += j.left / e.p.ReadRate
+		}
+	}
+	return w
+}
+
+// needs is the work of a job that has not begun.
+func (e *Engine) needs(j *Job) (read, write float64) {
+	if j.FetchState == 0 {
+		read = max(j.Prompt-e.found(j), 0) / e.p.ReadRate
+	}
+	if !j.ReadOnly {
+		step := e.p.Step + e.p.StepStream*time.Duration(e.p.Slots)
+		write = float64(j.Out) * step.Seconds() / float64(max(e.p.Slots, 1))
+	}
+	return read, write
 }
 
 type state struct {
@@ -142,6 +177,8 @@
 func (e *Engine) Submit(now time.Duration, j *Job) bool {
 	e.Advance(now)
 	if e.down || len(e.queue) >= e.p.Queue && len(e.running) >= e.p.Slots || j.Prompt > e.p.Memory {
+		read, write := e.needs(j)
+		e.work.ReadLost, e.work.WriteLost = e.work.ReadLost+read, e.work.WriteLost+write
 		return false
 	}
 	e.burden(j)
@@ -161,15 +198,8 @@
 		e.sent = nil
 		return
 	}
-	work := 0.0
-	if j.FetchState == 0 {
-		work += max(j.Prompt-e.found(j), 0) / e.p.ReadRate
-	}
-	if !j.ReadOnly {
-		step := e.p.Step + e.p.StepStream*time.Duration(e.p.Slots)
-		work += float64(j.Out) * step.Seconds() / float64(max(e.p.Slots, 1))
-	}
-	e.sent = append(e.sent, sending{e.now, work})
+	read, write := e.needs(j)
+	e.sent = append(e.sent, sending{e.now, read + write})
 	e.sent = slices.DeleteFunc(e.sent, func(s sending) bool { return e.now-s.at > e.p.TipAfter })
 	sum, most := 0.0, 0.0
 	for _, s := range e.sent {
@@ -359,7 +389,7 @@
 		if !ok || at > now {
 			break
 		}
-		e.now = max(e.now, at)
+		e.pass(max(e.now, at))
 		for id, s := range e.states {
 			if s.until <= e.now {
 				delete(e.states, id)
@@ -378,13 +408,28 @@
 		e.admit()
 		e.begin()
 	}
-	e.now = max(e.now, now)
+	e.pass(max(e.now, now))
+}
+
+// pass moves the clock and counts the slots in use by answers.
+func (e *Engine) pass(to time.Duration) {
+	if to > e.now && e.p.Writes {
+		n := 0
+		for _, j := range e.running {
+			if !j.ReadOnly && j.state != reading {
+				n++
+			}
+		}
+		e.work.WriteDone += (to - e.now).Seconds() * float64(n) / float64(max(e.p.Slots, 1))
+	}
+	e.now = to
 }
 
 func (e *Engine) endStep() {
 	w := e.step
 	e.step = stepWork{}
 	if j := w.read; j != nil {
+		e.work.ReadDone += w.tokens / e.p.ReadRate
 		if j.left -= w.tokens; j.left <= 0 {
 			e.read(j)
 		}
@@ -455,3 +500,9 @@
 		e.used -= s.tokens
 	}
 }
+
+// Resume goes on from the totals of the engine before a change of role: its process lives on.
+func (e *Engine) Resume(w Work) {
+	w.ReadWaiting, w.WriteWaiting = 0, 0
+	e.work = w
+}
--- /dev/null
+++ b/internal/standin/register/book.go
@@ -0,0 +1,141 @@
+package register
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"brackenbend/internal/planner"
+	"brackenbend/roles"
+)
+
+// Shift makes an engine one whose role may change: the book has an entry for it from now on, and the list follows the
+// book. kinds names the kind that it is listed as in each role.
+func (s *Server) Shift(name string, role roles.Role, kinds map[roles.Role]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.book.Entries == nil {
+		s.book.Entries = map[string]roles.Entry{}
+	}
+	s.kinds = kinds
+	if _, known := s.book.Entries[name]; !known {
+		s.book.Entries[name] = roles.Entry{Role: role, To: role, Open: true, Reads: true, Writes: true}
+	}
+}
+
+// KeepBook reads the book from a file, where there is one, and keeps it there from now on.
+func (s *Server) KeepBook(path string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.bookFile = path
+	text, err := os.ReadFile(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	var b roles.Book
+	if err := json.Unmarshal(text, &b); err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	s.book = b
+	return nil
+}
+
+// Book is the book as it stands.
+func (s *Server) Book() roles.Book {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.book
+}
+
+// bent gives an entry as the book wants it listed. s.mu is held.
+func (s *Server) bent(e Entry) Entry {
+	b, ok := s.book.Entries[e.Name]
+	if !ok {
+		return e
+	}
+	e.Kind = s.kinds[b.Role]
+	if !b.Open {
+		e.Draining = true
+	}
+	if at := time.Unix(0, int64(b.Changed)); b.Changed > 0 && at.After(e.Started) {
+		e.Started = at
+	}
+	return e
+}
+
+// keep writes the book so that a crash at any moment leaves the old or the new one.
+func keep(path string, b roles.Book) error {
+	if path == "" {
+		return nil
+	}
+	text, err := json.Marshal(b)
+	if err != nil {
+		return err
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(f.Name()) // gone once it is renamed
+	_, err = f.Write(text)
+	if err == nil {
+		err = f.Sync()
+	}
+	if cerr := f.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	return err
+}
+
+func (s *Server) serveBook(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+		return
+	}
+	if r.Method == http.MethodPut {
+		var b roles.Book
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 16<<20)).Decode(&b); err != nil {
+			status(w, http.StatusBadRequest, "BadRequest", "the body is no book: "+err.Error())
+			return
+		}
+		held, err := s.book.Write(b)
+		if err != nil {
+			status(w, http.StatusConflict, "Conflict", err.Error())
+			return
+		}
+		if err := keep(s.bookFile, held); err != nil {
+			status(w, http.StatusInternalServerError, "InternalError", err.Error())
+			return
+		}
+		was := s.book
+		s.book = held
+		for name, e := range held.Entries {
+			if listed, ok := s.entries[name]; ok && was.Entries[name] != e {
+				s.change("MODIFIED", listed)
+			}
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(held)
+		return
+	}
+	v := planner.View{Book: s.book, Listings: map[string]planner.Listing{}}
+	for name := range s.book.Entries {
+		if e, ok := s.entries[name]; ok {
+			v.Listings[name] = planner.Listing{Address: e.Address, Place: e.Zone + "/" + e.Cell, Up: e.usable()}
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- a/internal/standin/register/register.go
+++ b/internal/standin/register/register.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"brackenbend/internal/audit"
+	"brackenbend/internal/planner"
+	"brackenbend/roles"
 )
 
 // Entry is one engine of the list.
@@ -42,18 +44,21 @@
 	lis  net.Listener
 	http *http.Server
 
-	mu      sync.Mutex
-	version int
-	oldest  int // versions before this one are forgotten
-	entries map[string]Entry
-	order   []string
-	versOf  map[string]int
-	known   map[string]bool // every name ever told
-	history []change
-	news    chan struct{} // closed and replaced at each change
-	delay   time.Duration
-	cut     bool
-	watches map[context.Context]context.CancelFunc
+	mu       sync.Mutex
+	version  int
+	oldest   int // versions before this one are forgotten
+	entries  map[string]Entry
+	order    []string
+	versOf   map[string]int
+	known    map[string]bool // every name ever told
+	history  []change
+	news     chan struct{} // closed and replaced at each change
+	delay    time.Duration
+	cut      bool
+	book     roles.Book
+	kinds    map[roles.Role]string
+	bookFile string
+	watches  map[context.Context]context.CancelFunc
 }
 
 // Start listens on addr.
@@ -66,6 +71,8 @@
 		versOf: map[string]int{}, known: map[string]bool{}, news: make(chan struct{}), watches: map[context.Context]context.CancelFunc{}}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /apis/discovery.k8s.io/v1/namespaces/{ns}/endpointslices", s.serve)
+	mux.HandleFunc("GET "+planner.PathBook, s.serveBook)
+	mux.HandleFunc("PUT "+planner.PathBook, s.serveBook)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	return s, nil
@@ -134,7 +141,7 @@
 func (s *Server) change(kind string, e Entry) {
 	s.version++
 	s.versOf[e.Name] = s.version
-	s.history = append(s.history, change{s.version, kind, e, time.Now()})
+	s.history = append(s.history, change{s.version, kind, s.bent(e), time.Now()}) // as the book has it now
 	if len(s.history) > 4096 {
 		s.history = s.history[1024:]
 		s.oldest = s.history[0].version
@@ -242,7 +249,7 @@
 			next = fmt.Sprintf("%d-%d", version, i)
 			break
 		}
-		e := s.entries[s.order[i]]
+		e := s.bent(s.entries[s.order[i]])
 		items = append(items, s.slice(e, s.versOf[e.Name]))
 		if e.usable() {
 			ready = append(ready, e.Name)
@@ -250,7 +257,7 @@
 	}
 	var not []string // drain or are gone
 	for name := range s.known {
-		if !s.entries[name].usable() {
+		if !s.bent(s.entries[name]).usable() {
 			not = append(not, name)
 		}
 	}
