--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -439,3 +439,41 @@
 		}
 	}
 }
+
+// TestServerChangesKind: a reader becomes a writer while reads of its old role are out and its state waits for a writer.
+// What is out ends as it would have, nothing new is read there, and its books come out even.
+func TestServerChangesKind(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	for id := RequestID(1); id <= 3; id++ {
+		if s := pick[Send](g.step(g.request(id, 0, 500))); len(s) != 1 || s[0].Server != 1 {
+			t.Fatalf("%v", s)
+		}
+	}
+	acts := g.step(Outcome{Request: 1, Server: 1, Result: ReadDone, Elapsed: 20 * ms})
+	if s := pick[Send](acts); len(s) != 1 || s[0].Server != 2 {
+		t.Fatalf("%v", acts)
+	}
+	draining := reader(1)
+	draining.State = Draining
+	g.step(ServerList{Scope: Changes, Servers: []Server{draining, reader(3)}})
+	turned := writer(1)
+	turned.ReadyAt = g.now
+	g.step(ServerList{Scope: Changes, Servers: []Server{turned}})
+	if s := pick[Send](g.step(g.request(4, 0, 500))); len(s) != 1 || s[0].Server != 3 {
+		t.Errorf("a prompt goes to %v", s)
+	}
+	for id := RequestID(2); id <= 3; id++ { // these were read before it changed
+		acts := g.step(Outcome{Request: id, Server: 1, Result: ReadDone, Elapsed: 30 * ms})
+		if s := pick[Send](acts); len(s) != 1 || s[0].Server == 3 {
+			t.Errorf("the state read at the changed server goes to %v", acts)
+		}
+	}
+	for id := RequestID(1); id <= 3; id++ {
+		to := g.r.reqs[id].att[1].s.ID
+		g.step(First{Request: id, Attempt: 1, Server: to, Elapsed: 20 * ms})
+		g.step(Outcome{Request: id, Attempt: 1, Server: to, Result: Served, Over: true, Elapsed: 50 * ms})
+	}
+	if s := g.r.byID[1]; s.n != 0 || s.tokens != 0 || s.unread != 0 || s.waits != 0 || s.role != Writer {
+		t.Errorf("%d out, %.0f tokens, %.0f unread, %d waiting at a server with nothing to do", s.n, s.tokens, s.unread, s.waits)
+	}
+}
--- a/cmd/brackenbend/standins.go
+++ b/cmd/brackenbend/standins.go
@@ -13,9 +13,11 @@
 
 	"brackenbend/internal/config"
 	"brackenbend/internal/obs"
+	"brackenbend/internal/planner"
 	"brackenbend/internal/standin/engine"
 	"brackenbend/internal/standin/model"
 	"brackenbend/internal/standin/register"
+	"brackenbend/roles"
 )
 
 // engineParams are middling figures of one stand-in engine.
@@ -34,7 +36,7 @@
 
 func engineCommand() *cobra.Command {
 	var listen, role, name string
-	var plain, cold bool
+	var plain, cold, shifts bool
 	cmd := &cobra.Command{
 		Use:   "engine",
 		Short: "Run a stand-in engine",
@@ -48,7 +50,13 @@
 			if role != "reader" && role != "writer" && role != "mixed" {
 				return coded{fmt.Errorf("--role %q: reader, writer or mixed", role), exitUsage}
 			}
-			s, err := engine.Start(engine.Config{Name: name, Kind: role, Params: engineParams(role), Plain: plain, CancelStops: true}, listen, cold)
+			cfg := engine.Config{Name: name, Kind: role, Params: engineParams(role), Plain: plain, CancelStops: true}
+			if shifts {
+				r := map[string]roles.Role{"reader": roles.Reader, "writer": roles.Writer, "mixed": roles.Both}[role]
+				cfg.Seat, cfg.Switch = roles.Seat{Role: r, To: r}, time.Second
+				cfg.Roles = map[roles.Role]model.Params{roles.Reader: engineParams("reader"), roles.Writer: engineParams("writer"), roles.Both: engineParams("mixed")}
+			}
+			s, err := engine.Start(cfg, listen, cold)
 			if err != nil {
 				return err
 			}
@@ -64,11 +72,13 @@
 	f.StringVar(&name, "name", "engine-1", "its name")
 	f.BoolVar(&plain, "plain", false, "speak vLLM's convention only, not the extension")
 	f.BoolVar(&cold, "cold", false, "start cold")
+	f.BoolVar(&shifts, "shifts", false, "take orders to change role (POST "+planner.Path+")")
 	return cmd
 }
 
 func registerCommand() *cobra.Command {
-	var listen string
+	var listen, book string
+	var shift map[string]string
 	cmd := &cobra.Command{
 		Use:   "register NAME=KIND@ADDRESS...",
 		Short: "Run a stand-in node register",
@@ -82,11 +92,27 @@
 				return err
 			}
 			defer s.Close()
+			kinds := map[roles.Role]string{}
+			for name, kind := range shift {
+				r, err := roles.ParseRole(name)
+				if err != nil {
+					return coded{fmt.Errorf("--shift: %w", err), exitUsage}
+				}
+				kinds[r] = kind
+			}
+			if err := s.KeepBook(book); err != nil {
+				return coded{fmt.Errorf("--book: %w", err), exitConfig}
+			}
 			for _, a := range args {
 				var name, kind, addr string
 				if n, err := fmt.Sscanf(splitWords(a), "%s %s %s", &name, &kind, &addr); err != nil || n != 3 {
 					return coded{fmt.Errorf("%q: write NAME=KIND@ADDRESS", a), exitUsage}
 				}
+				for r, k := range kinds {
+					if k == kind {
+						s.Shift(name, r, kinds)
+					}
+				}
 				s.Set(register.Entry{Name: name, Kind: kind, Zone: "zone-1", Cell: "cell-1", Address: addr, UID: name + "-1", Ready: true})
 			}
 			fmt.Fprintln(cmd.OutOrStdout(), "register on", s.URL())
@@ -94,7 +120,10 @@
 			return nil
 		},
 	}
-	cmd.Flags().StringVar(&listen, "listen", "127.0.0.1:0", "loopback address")
+	f := cmd.Flags()
+	f.StringVar(&listen, "listen", "127.0.0.1:0", "loopback address")
+	f.StringToStringVar(&shift, "shift", nil, "kinds whose engines may change role, as reader=prefill,writer=decode,both=mixed")
+	f.StringVar(&book, "book", "", "file that keeps the book of roles over restarts")
 	return cmd
 }
 
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -144,7 +143,7 @@
 // epoch is the runner's time at its start, so that what happened before it has a time as well.
 const epoch = 24 * time.Hour
 
-// clock is a planner's time. Times in the book are of the wall clock, so that they outlive planners.
+// now is a planner's time. Times in the book are of the wall clock, so that they outlive planners.
 func (r *Runner) now() time.Duration { return epoch + time.Since(r.start) }
 
 // Run looks at the fleet until ctx ends. A register or engines that do not answer are no reason to end, nor to change
@@ -185,7 +184,7 @@
 	}
 	at := r.ask(ctx, v)
 	book, settled := v.Book, false
-	for _, id := range ids(book) {
+	for _, id := range book.Names() {
 		if st, ok := r.words[id]; ok {
 			var changed bool
 			book, changed = book.Heard(id, st.Word, wall())
@@ -221,22 +220,13 @@
 	return nil
 }
 
-func ids(b roles.Book) []string {
-	out := make([]string, 0, len(b.Entries))
-	for id := range b.Entries {
-		out = append(out, id)
-	}
-	slices.Sort(out)
-	return out
-}
-
 // wall is the wall clock as the book keeps it.
 func wall() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
 // engines makes the planner's view: what the book says, what the engines said.
 func (r *Runner) engines(v View, at time.Duration) []roles.Engine {
 	var out []roles.Engine
-	for _, id := range ids(v.Book) {
+	for _, id := range v.Book.Names() {
 		b, l := v.Book.Entries[id], v.Listings[id]
 		if _, ok := r.places[l.Place]; !ok {
 			r.places[l.Place] = len(r.places)
@@ -282,7 +272,7 @@
 func (r *Runner) each(v View, f func(id, url string)) {
 	room := make(chan struct{}, r.AtOnce)
 	var wg sync.WaitGroup
-	for _, id := range ids(v.Book) {
+	for _, id := range v.Book.Names() {
 		l := v.Listings[id]
 		if !l.Up {
 			continue
--- /dev/null
+++ b/internal/planner/planner_test.go
@@ -0,0 +1,252 @@
+package planner_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"brackenbend/internal/planner"
+	"brackenbend/internal/standin/engine"
+	"brackenbend/internal/standin/model"
+	"brackenbend/internal/standin/register"
+	"brackenbend/roles"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var kinds = map[roles.Role]string{roles.Reader: "prefill", roles.Writer: "decode", roles.Both: "mixed"}
+
+func params(r roles.Role) model.Params {
+	return model.Params{Reads: r.Reads(), Writes: r.Writes(), Slots: 16, Queue: 32, Memory: 200000, ReadRate: 50000, Chunk: 512,
+		Step: 2 * time.Millisecond, FetchRate: 1e6, Kept: 100000, StateLife: 30 * time.Second}
+}
+
+// fleet is a register with engines that may change role.
+type fleet struct {
+	t       *testing.T
+	reg     *register.Server
+	engines map[string]*engine.Server
+	client  planner.Client
+	http    *http.Client
+}
+
+func newFleet(t *testing.T, has ...roles.Role) *fleet {
+	t.Helper()
+	f := &fleet{t: t, engines: map[string]*engine.Server{}, http: &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	f.register("")
+	for i, r := range has {
+		all := map[roles.Role]model.Params{}
+		for x := range kinds {
+			all[x] = params(x)
+		}
+		name := fmt.Sprint("e", i)
+		f.reg.Shift(name, r, kinds)
+		s, err := engine.Start(engine.Config{Name: name, Params: params(r), Roles: all, Seat: roles.Seat{Role: r, To: r}, Switch: 5 * time.Millisecond,
+			CancelStops: true, Changed: f.list}, "127.0.0.1:0", false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(s.Close)
+		f.engines[name] = s
+	}
+	return f
+}
+
+func (f *fleet) register(book string) {
+	f.t.Helper()
+	var err error
+	if f.reg, err = register.Start("127.0.0.1:0", nil); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(f.reg.Close)
+	if err := f.reg.KeepBook(book); err != nil {
+		f.t.Fatal(err)
+	}
+	f.client = planner.Client{URL: f.reg.URL(), HTTP: f.http}
+}
+
+func (f *fleet) list(s *engine.Server) {
+	in := s.Info()
+	f.reg.Set(register.Entry{Name: in.Name, Zone: "z", Cell: "c", Address: in.Address, UID: in.UID, Ready: in.Up, Started: in.Started})
+}
+
+// run starts a planner; the function that it returns ends it as a crash does.
+func (f *fleet) run(s roles.Settings) (kill func()) {
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	r := &planner.Runner{Register: f.client, Settings: s, Every: 10 * time.Millisecond, Log: zap.NewNop()}
+	go func() {
+		defer close(done)
+		if err := r.Run(ctx); err != nil {
+			f.t.Error(err)
+		}
+	}()
+	kill = func() { stop(); <-done }
+	f.t.Cleanup(kill)
+	return kill
+}
+
+func (f *fleet) force(id string, to roles.Role) {
+	f.t.Helper()
+	if _, err := f.client.Update(f.t.Context(), func(b roles.Book) (roles.Book, error) { return b.Begin(id, to, "test") }); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fleet) eventually(what string, ok func(b roles.Book) bool) {
+	f.t.Helper()
+	for end := time.Now().Add(20 * time.Second); !ok(f.reg.Book()); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("%s: %+v", what, f.reg.Book())
+		}
+	}
+}
+
+// is tells whether an engine is settled in a role, by the book and by itself.
+func (f *fleet) is(id string, r roles.Role) func(roles.Book) bool {
+	return func(b roles.Book) bool {
+		e, s := b.Entries[id], f.engines[id].Seat()
+		return e.Open && e.Role == r && s.Role == r && s.To == r
+	}
+}
+
+var quiet = roles.Settings{MinStay: time.Hour}
+
+func TestAnOrderIsCarriedOut(t *testing.T) {
+	f := newFleet(t, roles.Reader, roles.Reader, roles.Writer)
+	f.run(quiet)
+	f.force("e0", roles.Writer)
+	f.eventually("settled", f.is("e0", roles.Writer))
+	if e, _ := f.reg.Entry("e1"); e.Name != "e1" {
+		t.Errorf("%+v", e)
+	}
+	resp, err := f.http.Get(f.reg.URL() + "/apis/discovery.k8s.io/v1/namespaces/default/endpointslices")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil || strings.Count(string(text), `"brackenbend.dev/kind":"decode"`) != 2 || !strings.Contains(string(text), "brackenbend.dev/started") {
+		t.Errorf("fronts are told %s %v", text, err)
+	}
+}
+
+// TestHeldStateIsTakenFirst: an engine that is ordered away while it holds a state for a writer takes nothing new, keeps
+// the state until it is taken, and switches then.
+func TestHeldStateIsTakenFirst(t *testing.T) {
+	f := newFleet(t, roles.Reader, roles.Reader, roles.Writer)
+	reader := "http://" + f.engines["e0"].Info().Address
+	post := func(url, id, body string) *http.Response {
+		req, _ := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+		req.Header.Set("X-Request-Id", id)
+		resp, err := f.http.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp
+	}
+	read := `{"model":"m","messages":[{"role":"user","content":"hello"}],"kv_transfer_params":{"do_remote_decode":true}}`
+	if resp := post(reader+"/v1/chat/completions", "r1", read); resp.StatusCode != 200 || f.engines["e0"].States() != 1 {
+		t.Fatalf("%d, %d states", resp.StatusCode, f.engines["e0"].States())
+	}
+	f.run(quiet)
+	f.force("e0", roles.Writer)
+	for end := time.Now().Add(20 * time.Second); f.engines["e0"].Seat().To != roles.Writer; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the order was not heard")
+		}
+	}
+	if resp := post(reader+"/v1/chat/completions", "r2", read); resp.StatusCode != 503 || resp.Header.Get("X-Brackenbend-Never-Ran") != "1" {
+		t.Errorf("new work was answered %d while it drains", resp.StatusCode)
+	}
+	if s := f.engines["e0"].Seat(); s.Role != roles.Reader || f.engines["e0"].States() != 1 {
+		t.Errorf("it switched to %v with a state held", s.Role)
+	}
+	if resp := post(reader+"/standin/take", "", `{"id":"r1"}`); resp.StatusCode != 200 {
+		t.Errorf("the state was lost: %d", resp.StatusCode)
+	}
+	f.eventually("settled", f.is("e0", roles.Writer))
+}
+
+// TestCrashesOnTheWay: the planner dies with the order written and not told, the engine dies with the order heard, the
+// register restarts from its disk; whoever comes next goes on.
+func TestCrashesOnTheWay(t *testing.T) {
+	f := newFleet(t, roles.Reader, roles.Reader, roles.Writer)
+	book := filepath.Join(t.TempDir(), "book.json")
+	if err := f.reg.KeepBook(book); err != nil {
+		t.Fatal(err)
+	}
+	f.force("e0", roles.Writer) // written; nobody tells it
+	kill := f.run(quiet)
+	f.eventually("told by the next planner", f.is("e0", roles.Writer))
+	kill()
+
+	f.force("e1", roles.Both)
+	resp, err := f.http.Post("http://"+f.engines["e1"].Info().Address+planner.Path, "application/json", strings.NewReader(`{"id":"e1","order":2,"to":"both"}`))
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	f.engines["e1"].Crash()
+	if err := f.engines["e1"].Restart(); err != nil {
+		t.Fatal(err)
+	}
+	f.reg.Close()
+	was := f.reg.Book()
+	f.register(book)
+	if got := f.reg.Book(); got.Orders != was.Orders || got.Entries["e1"] != was.Entries["e1"] {
+		t.Fatalf("the register came back with %+v, it had %+v", got, was)
+	}
+	for name, s := range f.engines {
+		f.reg.Shift(name, s.Seat().Role, kinds)
+		f.list(s)
+	}
+	f.run(quiet)
+	f.eventually("settled", f.is("e1", roles.Both))
+}
+
+// TestOldNewsIsRefused: a planner that was paused writes from the book that it read before another wrote.
+func TestOldNewsIsRefused(t *testing.T) {
+	f := newFleet(t, roles.Reader, roles.Reader, roles.Writer)
+	old, err := f.client.View(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.force("e0", roles.Writer)
+	b, err := old.Book.Begin("e1", roles.Writer, "old news")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.client.Write(t.Context(), b); !errors.Is(err, roles.ErrStale) {
+		t.Errorf("%v", err)
+	}
+	if _, err := f.client.Update(t.Context(), func(b roles.Book) (roles.Book, error) { return b.Begin("e1", roles.Writer, "") }); !errors.Is(err, roles.ErrLast) {
+		t.Errorf("the last reader was given away: %v", err)
+	}
+}
+
+// TestNoRegisterNoChange: while the register is cut off a planner does nothing, and goes on after.
+func TestNoRegisterNoChange(t *testing.T) {
+	f := newFleet(t, roles.Reader, roles.Reader, roles.Writer)
+	f.force("e0", roles.Writer)
+	f.reg.Cut(true)
+	f.run(quiet)
+	if _, err := f.client.View(t.Context()); err == nil {
+		t.Error("a register that is cut off answers")
+	}
+	if f.engines["e0"].Seat().Order != 0 {
+		t.Error("an engine was told without the book")
+	}
+	f.reg.Cut(false)
+	f.eventually("settled", f.is("e0", roles.Writer))
+}
--- a/roles/expert.go
+++ b/roles/expert.go
@@ -10,9 +10,10 @@
 // that what it loses by coming late, or by moving at all, is counted against it. On a mix that swings, the expert that
 // looks back over several swings loses least; on one that shifts, the one that follows.
 type expert struct {
-	memory           time.Duration
-	past             []work // newest last
-	readers, writers int    // at work, in thought
+	memory           time.Duration // how long it looks back
+	losses           time.Duration // how long its losses count
+	past             []work        // newest last
+	readers, writers int           // at work, in thought
 	coming           []comes
 	started          bool
 	loss             float64
@@ -64,7 +65,7 @@
 		x.coming = x.coming[1:]
 	}
 	half := float64(f.both) / 2
-	x.loss *= math.Exp(-dt / lossFor.Seconds())
+	x.loss *= math.Exp(-dt / x.losses.Seconds())
 	x.loss += dt * (stageCost(f.reading, float64(x.readers)+half) + stageCost(f.writing, float64(x.writers)+half))
 	x.remember(f, now, dt)
 
--- a/roles/life.go
+++ b/roles/life.go
@@ -140,7 +140,7 @@
 // Tells are the orders that have to be told, again and again, until their words are heard.
 func (b Book) Tells() []Tell {
 	var out []Tell
-	for _, id := range slices.Sorted(maps.Keys(b.Entries)) {
+	for _, id := range b.Names() {
 		if e := b.Entries[id]; !e.Open {
 			out = append(out, Tell{id, e.Order, e.To})
 		}
@@ -188,3 +188,19 @@
 	s.Role = s.To
 	return s
 }
+
+// Edit changes what an operator holds of an engine's entry: Pinned, Reads and Writes. An order that is on its way goes on;
+// call it off, or force another.
+func (b Book) Edit(id string, f func(*Entry)) (Book, error) {
+	e, ok := b.Entries[id]
+	if !ok {
+		return b, fmt.Errorf("%w: %s", ErrUnknown, id)
+	}
+	held := e
+	f(&held)
+	e.Pinned, e.Reads, e.Writes = held.Pinned, held.Reads, held.Writes
+	return b.with(id, e), nil
+}
+
+// Names are the engines of the book, in order.
+func (b Book) Names() []string { return slices.Sorted(maps.Keys(b.Entries)) }
--- a/roles/plan.go
+++ b/roles/plan.go
@@ -17,11 +17,11 @@
 
 	changePrice = 1.0 // what a change is reckoned to lose, as a part of an engine's work for the time that it takes
 
-	lossFor   = 20 * time.Minute // how long an expert's losses count
-	leadLong  = 1.0              // changes' prices by which one that looks back longer must be better to lead, and ...
-	leadShort = 3.0              // ... seconds of the whole fleet for one that looks back less long
-	priorPart = 0.1              // of an expert's memory: so long the split as it was found counts as right
-	buckets   = 64               // of an expert's memory, which spans spanOf times its constant
+	lossFor   = 120.0 // how long an expert's losses count, in times of a change
+	leadLong  = 1.0   // changes' prices by which one that looks back longer must be better to lead, and ...
+	leadShort = 0.3   // ... of the whole fleet, for the time of a change, for one that looks back less long
+	priorPart = 0.1   // of an expert's memory: so long the split as it was found counts as right
+	buckets   = 64    // of an expert's memory, which spans spanOf times its constant
 	spanOf    = 3.0
 	costSeen  = 0.2 // weight of the newest change's time in the mean
 
@@ -33,9 +33,9 @@
 	barMost     = time.Hour
 )
 
-// memories are the time constants of the experts: how long each looks back. The one that looks back longest leads until
-// another has done better.
-var memories = [...]time.Duration{20 * time.Minute, 5 * time.Minute, 80 * time.Second, 20 * time.Second, 5 * time.Second}
+// memories are how long each expert looks back, in times of a change: what is long for a fleet depends on what a change
+// takes there. The one that looks back longest leads until another has done better.
+var memories = [...]float64{120, 30, 8, 2, 0.5}
 
 // Planner plans for one fleet. It is not safe for concurrent use.
 type Planner struct {
@@ -76,7 +76,7 @@
 	s.TurnTime = cmp.Or(s.TurnTime, 2*time.Minute)
 	p := &Planner{set: s, meters: map[string]*meter{}, moves: map[string]*move{}, bars: map[string]bar{}, cost: s.ChangeTime.Seconds()}
 	for _, m := range memories {
-		p.experts = append(p.experts, &expert{memory: m})
+		p.experts = append(p.experts, &expert{memory: time.Duration(m * float64(s.ChangeTime)), losses: time.Duration(lossFor * float64(s.ChangeTime))})
 	}
 	return p, nil
 }
@@ -127,7 +127,7 @@
 	for i, x := range p.experts {
 		margin := leadLong * changePrice * p.cost
 		if i > p.lead {
-			margin = leadShort * engines
+			margin = leadShort * engines * p.set.ChangeTime.Seconds()
 		}
 		if g := p.experts[p.lead].loss - x.loss - margin; g > gain {
 			lead, gain = i, g
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -40,6 +40,21 @@
 	return 0, fmt.Errorf("roles: unknown role %q: reader, writer or both", s)
 }
 
+// MarshalText writes the role's name, as in JSON.
+func (r Role) MarshalText() ([]byte, error) {
+	if r > Both {
+		return nil, fmt.Errorf("roles: no name for %v", r)
+	}
+	return []byte(r.String()), nil
+}
+
+// UnmarshalText reads a role's name.
+func (r *Role) UnmarshalText(text []byte) error {
+	got, err := ParseRole(string(text))
+	*r = got
+	return err
+}
+
 // Reads tells whether the role takes prompts to read.
 func (r Role) Reads() bool { return r != Writer }
 
@@ -48,9 +63,11 @@
 
 // Settings are what operators state. A zero figure means its documented default.
 type Settings struct {
-	MinStay    time.Duration // the stated rate: no engine changes sooner after its last change; 0 = 60 s
-	AtOnce     float64       // part of the fleet that may be on the way at once, one engine at least; 0 = 0.1
-	ChangeTime time.Duration // what a change takes until it has been seen: drained, switched, half warm; 0 = 10 s
+	MinStay time.Duration // the stated rate: no engine changes sooner after its last change; 0 = 60 s
+	AtOnce  float64       // part of the fleet that may be on the way at once, one engine at least; 0 = 0.1
+	// ChangeTime is what a change takes, by and large: drained, switched, half warm; 0 = 10 s. The law counts time in it:
+	// how long it looks back, and how sure it must be. What changes really take is learned beside it.
+	ChangeTime time.Duration
 	Warm       time.Duration // of it, what comes after the engine says that it changed; 0 = 3 s
 	StaleAfter time.Duration // an older report counts as none; 0 = 5 s
 	TurnTime   time.Duration // a change that was begun and is not confirmed by then is called off; 0 = 2 min
