--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -153,6 +153,9 @@
 		b = http1.AppendField(b, "Retry-After", strconv.Itoa(int(math.Ceil(a.wait.Seconds()))))
 		b = http1.AppendField(b, "retry-after-ms", strconv.FormatInt(a.wait.Milliseconds(), 10))
 	}
+	if a.id != "" {
+		b = http1.AppendField(b, engine.FieldID, a.id)
+	}
 	if a.noRetry {
 		b = http1.AppendField(b, "x-should-retry", "false")
 	}
@@ -338,6 +341,7 @@
 		return fl.keep && fl.result != "gone" && !f.draining.Load()
 	}
 	keep := fl.keep && !f.draining.Load()
+	fl.answer.id = f.wideID(fl.id, 0)
 	return c.send(fl.answer, keep) == nil && keep
 }
 
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -62,6 +62,7 @@
 	body    []byte
 	wait    time.Duration // with a refusal
 	noRetry bool
+	id      string // X-Request-Id; "" where no flight was made
 }
 
 func refusal(a choice.Refuse) answer {
@@ -285,7 +286,7 @@
 		b := http1.AppendStatus(a.out, 200)
 		b = http1.AppendField(b, "Content-Type", "text/event-stream; charset=utf-8")
 		b = http1.AppendField(b, "Cache-Control", "no-cache")
-		b = http1.AppendField(b, engine.FieldID, a.id)
+		b = http1.AppendField(b, engine.FieldID, fl.to.f.wideID(fl.id, 0))
 		if fl.chunks {
 			b = http1.AppendField(b, "Transfer-Encoding", "chunked")
 		}
