Planner's metrics, on an admin address of its own

Need: operators must see what a planner believes, wants and did. Change: gauges of engines by role and state, of the work asked for by stage, of the leading memory and of figures not believed; counters of changes, call-offs and looks; served as a front's are.

--- a/cmd/brackenbend/roles.go
+++ b/cmd/brackenbend/roles.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/signal"
@@ -13,6 +15,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"go.uber.org/zap"
 
 	"brackenbend/internal/obs"
 	"brackenbend/internal/planner"
@@ -20,7 +23,7 @@
 )
 
 func plannerCommand() *cobra.Command {
-	var url, level string
+	var url, level, admin string
 	var every time.Duration
 	var set roles.Settings
 	cmd := &cobra.Command{
@@ -39,14 +42,28 @@
 			if err != nil {
 				return coded{err, exitUsage}
 			}
+			m := planner.NewMetrics()
+			if admin != "" {
+				l, err := net.Listen("tcp", admin)
+				if err != nil {
+					return fmt.Errorf("--admin: %w", err)
+				}
+				defer l.Close()
+				go func() {
+					if err := obs.ServeAdmin(l, m.Registry, func() string { return "" }); !errors.Is(err, net.ErrClosed) {
+						log.Error("admin ended", zap.Error(err))
+					}
+				}()
+			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			r := &planner.Runner{Register: rolesClient(url), Settings: set, Every: every, Log: log}
+			r := &planner.Runner{Register: rolesClient(url), Settings: set, Every: every, Log: log, Metrics: m}
 			return r.Run(ctx)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&url, "register", "", "URL of the register")
+	f.StringVar(&admin, "admin", "", "address for health and metrics; none = not served")
 	f.StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	f.DurationVar(&every, "every", time.Second, "time between two looks")
 	f.DurationVar(&set.MinStay, "min-stay", time.Minute, "the stated rate: no engine changes sooner after its last change")
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -89,6 +89,11 @@
 // Serve answers /healthz, /readyz and /metrics on l until it is closed. ready tells why the front is not ready,
 // "" when it is.
 func (m *Metrics) Serve(l net.Listener, ready func() string) error {
+	return ServeAdmin(l, m.reg, ready)
+}
+
+// ServeAdmin does the same for any metrics.
+func ServeAdmin(l net.Listener, metrics prometheus.Gatherer, ready func() string) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "alive") })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
@@ -98,7 +103,7 @@
 		}
 		fmt.Fprintln(w, "ready")
 	})
-	mux.Handle("GET /metrics", promhttp.HandlerFor(m.reg, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(metrics, promhttp.HandlerOpts{}))
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
 	return srv.Serve(l)
 }
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -133,6 +133,7 @@
 	AtOnce   int           // engines asked at once; 0 = 32
 	Log      *zap.Logger
 	Planned  func(roles.Plan) // after each look; may be nil
+	Metrics  *Metrics         // may be nil
 
 	p      *roles.Planner
 	start  time.Time
@@ -159,13 +160,19 @@
 	if r.AtOnce == 0 {
 		r.AtOnce = 32
 	}
+	if r.Metrics == nil {
+		r.Metrics = NewMetrics()
+	}
 	r.start, r.places = time.Now(), map[string]int{}
 	tick := time.NewTicker(r.Every)
 	defer tick.Stop()
 	for {
+		result := "done"
 		if err := r.look(ctx); err != nil && ctx.Err() == nil {
 			r.Log.Warn("no plan", zap.Error(err))
+			result = "failed"
 		}
+		r.Metrics.looks.WithLabelValues(result).Inc()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -195,10 +202,12 @@
 	if r.Planned != nil {
 		r.Planned(plan)
 	}
+	r.Metrics.plan(plan, book)
 	changed := settled
 	for _, id := range plan.CallOff {
 		if b, err := book.CallOff(id, "it took too long, or the work turned"); err == nil {
 			book, changed = b, true
+			r.Metrics.calledOff.Inc()
 			r.Log.Info("called off", zap.String("engine", id))
 		}
 	}
@@ -209,6 +218,7 @@
 			continue
 		}
 		book, changed = b, true
+		r.Metrics.changes.WithLabelValues(c.To.String()).Inc()
 		r.Log.Info("change", zap.String("engine", c.ID), zap.Stringer("to", c.To), zap.String("why", c.Why))
 	}
 	if changed {
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -37,6 +37,7 @@
 	engines map[string]*engine.Server
 	client  planner.Client
 	http    *http.Client
+	metrics *planner.Metrics // of the newest planner
 }
 
 func newFleet(t *testing.T, has ...roles.Role) *fleet {
@@ -83,7 +84,8 @@
 func (f *fleet) run(s roles.Settings) (kill func()) {
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	r := &planner.Runner{Register: f.client, Settings: s, Every: 10 * time.Millisecond, Log: zap.NewNop()}
+	f.metrics = planner.NewMetrics()
+	r := &planner.Runner{Metrics: f.metrics, Register: f.client, Settings: s, Every: 10 * time.Millisecond, Log: zap.NewNop()}
 	go func() {
 		defer close(done)
 		if err := r.Run(ctx); err != nil {
@@ -126,6 +128,21 @@
 	f.run(quiet)
 	f.force("e0", roles.Writer)
 	f.eventually("settled", f.is("e0", roles.Writer))
+	serves := func() (n float64) {
+		all, err := f.metrics.Registry.Gather()
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range all {
+			if m.GetName() == "brackenbend_planner_engines" {
+				for _, x := range m.Metric {
+					n += x.GetGauge().GetValue() * map[bool]float64{true: 1}[x.Label[0].GetValue() == "writer" && x.Label[1].GetValue() == "serves"]
+				}
+			}
+		}
+		return n
+	}
+	f.eventually("shown by the metrics", func(roles.Book) bool { return serves() == 2 })
 	if e, _ := f.reg.Entry("e1"); e.Name != "e1" {
 		t.Errorf("%+v", e)
 	}
