An engine that only adds a stage drains nothing and stays listed meanwhile

Change: an order to do both leaves the engine open in its old role until it does both, and it is not cold then; the stand-in takes the wider parameters while it works.

--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -501,6 +501,14 @@
 	}
 }
 
+// Become takes other parameters while it works: those of a role that adds a stage.
+func (e *Engine) Become(now time.Duration, p Params) {
+	e.Advance(now)
+	e.p = p
+	e.admit()
+	e.begin()
+}
+
 // Resume goes on from the totals of the engine before a change of role: its process lives on.
 func (e *Engine) Resume(w Work) {
 	w.ReadWaiting, w.WriteWaiting = 0, 0
--- a/roles/life.go
+++ b/roles/life.go
@@ -22,14 +22,16 @@
 //
 // Every word may be lost, late or repeated, and every party may crash at any point: Tell is repeated until the word of
 // its order is heard. An order is called off by a newer one back to the role in force.
+// An order that only adds a stage (to Both) drains nothing: the engine stays listed in its old role until it does both.
 
 // Entry is what the book says of one engine.
 type Entry struct {
 	Role    Role          `json:"role"`              // as listed
 	Order   uint64        `json:"order,omitempty"`   // newest order; only grows
 	To      Role          `json:"to"`                // what the order asks for; = Role once it is settled
-	Open    bool          `json:"open"`              // listed ready; an order closes it until it is settled
+	Open    bool          `json:"open"`              // listed ready; an order closes it until it is settled, unless it only adds a stage
 	Changed time.Duration `json:"changed,omitempty"` // when it was last settled or called off, by the writer's clock
+	Began   time.Duration `json:"began,omitempty"`   // when it last came back from being closed: cold since then
 	Pinned  bool          `json:"pinned,omitempty"`  // an operator holds it
 	Reads   bool          `json:"reads,omitempty"`   // it may be ordered to read ...
 	Writes  bool          `json:"writes,omitempty"`  // ... and to write
@@ -87,7 +89,8 @@
 // order gives the next order, unless it left a stage with no engine that is meant for it.
 func (b Book) order(id string, e Entry, to Role, why string) (Book, error) {
 	b.Orders++
-	e.Order, e.To, e.Open, e.Why = b.Orders, to, false, why
+	e.Order, e.To, e.Why = b.Orders, to, why
+	e.Open = e.Open && to.covers(e.Role)
 	n := b.with(id, e)
 	had, has := b.meant(), n.meant()
 	if had[0] && !has[0] || had[1] && !has[1] {
@@ -111,9 +114,10 @@
 	switch {
 	case !ok:
 		return b, fmt.Errorf("%w: %s", ErrUnknown, id)
-	case e.Open || e.To == e.Role:
+	case e.To == e.Role:
 		return b, fmt.Errorf("%w: %s", ErrSame, id)
 	}
+	e.Open = false // it may have changed already
 	return b.order(id, e, e.Role, why)
 }
 
@@ -126,7 +130,10 @@
 		return b, false
 	}
 	switch settled := w.Serves && w.Order == e.Order; {
-	case !e.Open && settled && w.Role == e.To:
+	case settled && w.Role == e.To && (!e.Open || e.To != e.Role):
+		if !e.Open { // it may have switched, also there and back
+			e.Began = now
+		}
 		e.Role, e.Open, e.Changed = e.To, true, now
 		return b.with(id, e), true
 	case e.Open && w.Serves && w.Order <= e.Order && w.Role != e.Role:
@@ -141,7 +148,7 @@
 func (b Book) Tells() []Tell {
 	var out []Tell
 	for _, id := range b.Names() {
-		if e := b.Entries[id]; !e.Open {
+		if e := b.Entries[id]; !e.Open || e.To != e.Role {
 			out = append(out, Tell{id, e.Order, e.To})
 		}
 	}
@@ -170,6 +177,9 @@
 	To    Role   `json:"to"`
 }
 
+// Takes tells whether the engine takes new work of a role. One that only adds a stage goes on with what it did.
+func (s Seat) Takes(r Role) bool { return s.Role.covers(r) && s.To.covers(s.Role) }
+
 // Word is what the engine says while it is in this seat.
 func (s Seat) Word() Word { return Word{s.Order, s.Role, s.To == s.Role} }
 
@@ -182,8 +192,8 @@
 	return s
 }
 
-// Empty is called when a draining engine has no work and holds no state any more. The engine then loads what its new role
-// needs, and serves.
+// Empty is called when a draining engine has no work and holds no state any more, or when one that only adds a stage is
+// ready for it. The engine then serves in its new role.
 func (s Seat) Empty() Seat {
 	s.Role = s.To
 	return s
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -58,6 +58,9 @@
 // Reads tells whether the role takes prompts to read.
 func (r Role) Reads() bool { return r != Writer }
 
+// covers tells whether r does all that o does.
+func (r Role) covers(o Role) bool { return r == o || r == Both }
+
 // Writes tells whether the role takes answers to write.
 func (r Role) Writes() bool { return r != Reader }
 
