--- a/internal/register/watch.go
+++ b/internal/register/watch.go
@@ -12,11 +12,11 @@
 	"net/http"
 	"net/url"
 	"os"
-	"path/filepath"
 	"strings"
 	"time"
 
 	"brackenbend/choice"
+	"brackenbend/internal/disk"
 )
 
 // Watcher follows the register. Its fields are set before Run.
@@ -318,22 +318,5 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	if err != nil {
-		os.Remove(f.Name())
-	}
-	return err
+	return disk.Replace(path, text)
 }
--- a/internal/standin/register/book.go
+++ b/internal/standin/register/book.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"net/http"
 	"os"
-	"path/filepath"
 	"time"
 
+	"brackenbend/internal/disk"
 	"brackenbend/internal/planner"
 	"brackenbend/roles"
 )
@@ -79,22 +79,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".*")
-	if err != nil {
-		return err
-	}
-	defer os.Remove(f.Name()) // gone once it is renamed
-	_, err = f.Write(text)
-	if err == nil {
-		err = f.Sync()
-	}
-	if cerr := f.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(f.Name(), path)
-	}
-	return err
+	return disk.Replace(path, text)
 }
 
 func (s *Server) serveBook(w http.ResponseWriter, r *http.Request) {
