Planners are told what fronts refuse

Cause: under overload fronts refuse before any engine sees the work, so a planner saw an overload as smaller than it is and moved late. Change: fronts count requests lost before their first token by the stage they had not passed; a planner reads that from the fronts it is given (Prometheus text, parsed by the published library) and turns it into engine seconds by what a request takes of the engines by and large. Fronts that do not answer are left out.

--- a/cmd/brackenbend/roles.go
+++ b/cmd/brackenbend/roles.go
@@ -24,6 +24,7 @@
 
 func plannerCommand() *cobra.Command {
 	var url, level, admin string
+	var fronts []string
 	var every time.Duration
 	var set roles.Settings
 	cmd := &cobra.Command{
@@ -57,12 +58,13 @@
 			}
 			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop()
-			r := &planner.Runner{Register: rolesClient(url), Settings: set, Every: every, Log: log, Metrics: m}
+			r := &planner.Runner{Register: rolesClient(url), Settings: set, Fronts: fronts, Every: every, Log: log, Metrics: m}
 			return r.Run(ctx)
 		},
 	}
 	f := cmd.Flags()
 	f.StringVar(&url, "register", "", "URL of the register")
+	f.StringSliceVar(&fronts, "front", nil, "admin address of a front that is asked what it refused; any number")
 	f.StringVar(&admin, "admin", "", "address for health and metrics; none = not served")
 	f.StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	f.DurationVar(&every, "every", time.Second, "time between two looks")
--- a/internal/day/roles.go
+++ b/internal/day/roles.go
@@ -98,9 +98,13 @@
 	p.off = stop
 	p.mu.Unlock()
 	log := zap.NewNop()
+	var fronts []string
+	for _, f := range p.r.fronts {
+		fronts = append(fronts, f.admin)
+	}
 	for i := range max(p.r.d.Planner.Count, 1) {
 		run := &planner.Runner{Register: planner.Client{URL: p.r.reg.URL(), HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
-			Settings: p.r.d.Planner.settings(), Every: p.r.d.Planner.Every, Log: log}
+			Settings: p.r.d.Planner.settings(), Fronts: fronts, Every: p.r.d.Planner.Every, Log: log}
 		if i == 0 {
 			run.Planned = p.note
 		}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -60,6 +60,7 @@
 // process is a front's process.
 type process struct {
 	name, addr, file string
+	admin            string // where planners ask; "" = nowhere
 	mu               sync.Mutex
 	cmd              *exec.Cmd
 	ended            chan struct{}
@@ -204,6 +205,11 @@
 	}
 	name := fmt.Sprintf("front-%d", i+1)
 	p := &process{name: name, addr: addr, file: filepath.Join(r.o.Dir, name+".xml")}
+	if r.planners != nil {
+		if p.admin, err = loopback.Address(); err != nil {
+			return nil, err
+		}
+	}
 	return p, os.WriteFile(p.file, []byte(r.settings(p, i)), 0o644)
 }
 
@@ -216,7 +222,7 @@
 func (r *run) settings(p *process, i int) string {
 	var b strings.Builder
 	s := r.d.Service
-	fmt.Fprintf(&b, "<brackenbend>\n  <front name=%q listen=%q seed=\"%d\" drain=\"10s\" answer-margin=\"150ms\"/>\n", p.name, p.addr, r.d.Seed*1000+i+1)
+	fmt.Fprintf(&b, "<brackenbend>\n  <front name=%q listen=%q seed=\"%d\" drain=\"10s\" answer-margin=\"150ms\" admin=%q/>\n", p.name, p.addr, r.d.Seed*1000+i+1, p.admin)
 	b.WriteString("  <limits open-requests=\"4096\" stall-time=\"5s\"/>\n  <log level=\"info\" lines-per-second=\"1000\"/>\n")
 	fmt.Fprintf(&b, "  <service fronts=\"%d\" max-attempts=\"%d\" max-wait=\"1s\" release-within=%q drain-grace=%q cold-from=\"%v\" cold-for=%q overload-factor=\"%v\" tip-after=%q writers-read=\"%v\" cancel=\"%v\"",
 		r.d.Fronts, s.MaxAttempts, s.Release, s.DrainGrace, s.ColdFrom, s.ColdFor, s.Overload, s.TipAfter, s.WritersRead, s.CancelStops)
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -333,12 +333,30 @@
 	return nil
 }
 
+// stage is the one that a request without a first token had not passed.
+func (fl *flight) stage() string {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	for _, a := range fl.attempts {
+		a.resultMu.Lock()
+		read := a.result == resultNames[choice.ReadDone]
+		a.resultMu.Unlock()
+		if read {
+			return "write"
+		}
+	}
+	return "read"
+}
+
 // report is the one log line of a request's final answer.
 func (fl *flight) report(f *Front) {
 	f.m.Answers.WithLabelValues(fl.class.Name, fl.result).Inc()
 	if d := fl.first.Load(); d > 0 {
 		f.m.FirstToken.WithLabelValues(fl.class.Name).Observe(time.Duration(d).Seconds())
 	}
+	if fl.first.Load() == 0 && (fl.result == "refused" || fl.result == "failed") {
+		f.m.Lost.WithLabelValues(fl.stage()).Inc()
+	}
 	ce := f.log.Check(zap.InfoLevel, "answer "+fl.result)
 	if ce == nil {
 		return
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -49,8 +49,12 @@
 	Lists       *prometheus.CounterVec
 	Engines     *prometheus.GaugeVec
 	Releases    *prometheus.CounterVec
+	Lost        *prometheus.CounterVec // requests that a stage was short of
 }
 
+// LostName is the counter that a planner of roles reads, without the prefix.
+const LostName = "lost_requests_total"
+
 // NewMetrics makes and registers them.
 func NewMetrics() *Metrics {
 	m := &Metrics{reg: prometheus.NewRegistry()}
@@ -72,6 +76,7 @@
 	m.Turned = counter("turned_away_total", "Requests turned away before they were taken, by reason.", "reason")
 	m.Lists = counter("register_updates_total", "Updates of the list of engines, by scope.", "scope")
 	m.Releases = counter("releases_total", "Read states let go at engines, by result (done, failed).", "result")
+	m.Lost = counter(LostName, "Requests refused or failed before their first token, by the stage that they had not passed (read, write).", "stage")
 	m.Connections = gauge("client_connections", "Client connections open.")
 	m.Open = gauge("open_requests", "Requests taken and not answered in full.")
 	m.Engines = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "brackenbend_engines", Help: "Engines on the list, by role and state."}, []string{"role", "state"})
--- /dev/null
+++ b/internal/planner/fronts.go
@@ -0,0 +1,123 @@
+package planner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"brackenbend/internal/obs"
+	"brackenbend/roles"
+)
+
+// lostWork turns fronts' counts of lost requests into work, by what a request takes of the engines by and large.
+type lostWork struct {
+	seen   map[string][2]float64 // counts by front and stage, as last read
+	totals map[string]*roles.Report
+}
+
+func newLostWork() lostWork {
+	return lostWork{seen: map[string][2]float64{}, totals: map[string]*roles.Report{}}
+}
+
+// mean is what one request takes of each stage, in engine seconds, over the lives of all engines that answered.
+func mean(words map[string]Status) (read, write float64) {
+	var done, count [2]float64
+	for _, st := range words {
+		done[0], count[0] = done[0]+st.Read.Done, count[0]+st.Read.Count
+		done[1], count[1] = done[1]+st.Write.Done, count[1]+st.Write.Count
+	}
+	return done[0] / max(count[0], 1), done[1] / max(count[1], 1)
+}
+
+// add takes the counts of a front at now: what was lost before it was read would have had to be written too.
+func (l *lostWork) add(front string, counts [2]float64, now time.Duration, read, write float64) *roles.Report {
+	was, known := l.seen[front]
+	l.seen[front] = counts
+	t := l.totals[front]
+	if t == nil {
+		t = &roles.Report{}
+		l.totals[front] = t
+	}
+	t.At = now
+	if !known || counts[0] < was[0] || counts[1] < was[1] { // first seen, or a new process
+		return t
+	}
+	unread, unwritten := counts[0]-was[0], counts[1]-was[1]
+	t.Read.Lost += unread * read
+	t.Write.Lost += (unread + unwritten) * write
+	return t
+}
+
+// askFronts reads the fronts' counters; those that do not answer are left out.
+func (r *Runner) askFronts(ctx context.Context) []roles.Front {
+	ctx, stop := context.WithTimeout(ctx, 2*r.Every)
+	defer stop()
+	counts := make([]*[2]float64, len(r.Fronts))
+	room := make(chan struct{}, r.AtOnce)
+	var wg sync.WaitGroup
+	for i, addr := range r.Fronts {
+		room <- struct{}{}
+		wg.Add(1)
+		go func() {
+			defer func() { <-room; wg.Done() }()
+			if c, err := r.scrape(ctx, "http://"+addr+"/metrics"); err == nil {
+				counts[i] = &c
+			}
+		}()
+	}
+	wg.Wait()
+	read, write := mean(r.words)
+	var out []roles.Front
+	for i, addr := range r.Fronts {
+		if counts[i] != nil {
+			report := *r.lost.add(addr, *counts[i], r.now(), read, write)
+			out = append(out, roles.Front{ID: addr, Report: &report})
+		}
+	}
+	return out
+}
+
+// scrape reads what a front lost at each stage, in the Prometheus text format.
+func (r *Runner) scrape(ctx context.Context, url string) (counts [2]float64, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return counts, err
+	}
+	resp, err := r.Register.HTTP.Do(req)
+	if err != nil {
+		return counts, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return counts, fmt.Errorf("%s: answered %d", url, resp.StatusCode)
+	}
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(io.LimitReader(resp.Body, maxReply))
+	if err != nil {
+		return counts, err
+	}
+	for _, m := range families["brackenbend_"+obs.LostName].GetMetric() {
+		for i, stage := range [...]string{"read", "write"} {
+			if label(m, "stage") == stage {
+				counts[i] += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return counts, nil
+}
+
+func label(m *dto.Metric, name string) string {
+	for _, l := range m.GetLabel() {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/planner/fronts_test.go
@@ -0,0 +1,40 @@
+package planner
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"brackenbend/internal/obs"
+)
+
+// TestLostRequestsBecomeWork: the counter of a real front's metrics, as a planner reads it.
+func TestLostRequestsBecomeWork(t *testing.T) {
+	m := obs.NewMetrics()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan error, 1)
+	go func() { served <- m.Serve(l, func() string { return "" }) }()
+	defer func() { l.Close(); <-served }()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 20 * time.Second}
+	r := &Runner{Register: Client{HTTP: client}, Fronts: []string{l.Addr().String(), "127.0.0.1:1"}, Every: 10 * time.Second, AtOnce: 2,
+		lost: newLostWork(), start: time.Now(), words: map[string]Status{
+			"r": {Read: Stage{Done: 10, Count: 100}}, "w": {Write: Stage{Done: 40, Count: 80}}}}
+	first := r.askFronts(t.Context())
+	if len(first) != 1 || first[0].Report.Read.Lost != 0 {
+		t.Fatalf("%+v", first)
+	}
+	m.Lost.WithLabelValues("read").Add(20)
+	m.Lost.WithLabelValues("write").Add(4)
+	got := r.askFronts(t.Context())
+	if len(got) != 1 || got[0].Report.Read.Lost != 2 || got[0].Report.Write.Lost != 12 {
+		t.Errorf("%+v", got[0].Report)
+	}
+	// a front that starts anew begins from nothing, and takes nothing back
+	if again := r.lost.add(r.Fronts[0], [2]float64{1, 0}, 0, 1, 1); again.Read.Lost != 2 || again.Write.Lost != 12 {
+		t.Errorf("%+v", again)
+	}
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -26,11 +26,16 @@
 	PathBook = "/v1/brackenbend/roles"
 )
 
-// Stage is roles.Stage as engines tell it: totals in seconds of the whole engine.
+// Stage is roles.Stage as engines tell it: totals in seconds of the whole engine, and of requests.
 type Stage struct {
 	Done    float64 `json:"done"`
 	Waiting float64 `json:"waiting"`
 	Lost    float64 `json:"lost"`
+	Count   float64 `json:"count"` // prompts read, or answers ended
+}
+
+func (s Stage) plain() roles.Stage {
+	return roles.Stage{Done: s.Done, Waiting: s.Waiting, Lost: s.Lost}
 }
 
 // Status is an engine's answer.
@@ -129,6 +134,7 @@
 type Runner struct {
 	Register Client
 	Settings roles.Settings
+	Fronts   []string      // admin addresses, host:port, of fronts that are asked what they refused; may be empty
 	Every    time.Duration // between looks; 0 = 1 s
 	AtOnce   int           // engines asked at once; 0 = 32
 	Log      *zap.Logger
@@ -139,6 +145,7 @@
 	start  time.Time
 	places map[string]int
 	words  map[string]Status
+	lost   lostWork
 }
 
 // epoch is the runner's time at its start, so that what happened before it has a time as well.
@@ -163,7 +170,7 @@
 	if r.Metrics == nil {
 		r.Metrics = NewMetrics()
 	}
-	r.start, r.places = time.Now(), map[string]int{}
+	r.start, r.places, r.lost = time.Now(), map[string]int{}, newLostWork()
 	tick := time.NewTicker(r.Every)
 	defer tick.Stop()
 	for {
@@ -198,7 +205,7 @@
 			settled = settled || changed
 		}
 	}
-	plan := r.p.Step(r.now(), r.engines(v, at), nil)
+	plan := r.p.Step(r.now(), r.engines(v, at), r.askFronts(ctx))
 	if r.Planned != nil {
 		r.Planned(plan)
 	}
@@ -251,7 +258,7 @@
 		}
 		if st, ok := r.words[id]; ok && l.Up {
 			e.Held = st.Held
-			e.Report = &roles.Report{At: at, Read: roles.Stage(st.Read), Write: roles.Stage(st.Write)}
+			e.Report = &roles.Report{At: at, Read: st.Read.plain(), Write: st.Write.plain()}
 		}
 		out = append(out, e)
 	}
--- a/internal/standin/engine/role.go
+++ b/internal/standin/engine/role.go
@@ -100,8 +100,8 @@
 	s.plan()
 	k := s.m.Work()
 	reply := planner.Status{Word: s.seat.Word(), Held: s.m.Working() + s.m.States(),
-		Read:  planner.Stage{Done: k.ReadDone, Waiting: k.ReadWaiting, Lost: k.ReadLost},
-		Write: planner.Stage{Done: k.WriteDone, Waiting: k.WriteWaiting, Lost: k.WriteLost}}
+		Read:  planner.Stage{Done: k.ReadDone, Waiting: k.ReadWaiting, Lost: k.ReadLost, Count: k.Reads},
+		Write: planner.Stage{Done: k.WriteDone, Waiting: k.WriteWaiting, Lost: k.WriteLost, Count: k.Writes}}
 	reply.Serves = reply.Serves && !s.switching
 	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -86,6 +86,7 @@
 type Work struct {
 	ReadDone, ReadWaiting, ReadLost    float64
 	WriteDone, WriteWaiting, WriteLost float64
+	Reads, Writes                      float64 // prompts read and answers ended
 }
 
 // Work tells what was done up to now.
@@ -442,6 +443,7 @@
 		e.used++
 		n := j.out
 		if n >= j.Out {
+			e.work.Writes++
 			e.keep("s:"+j.Session, j.memory())
 			e.remove(j)
 		}
@@ -458,6 +460,7 @@
 
 // read ends the reading of a prompt.
 func (e *Engine) read(j *Job) {
+	e.work.Reads++
 	e.keep("p:"+j.Prefix, j.PrefixLen)
 	e.keep("s:"+j.Session, j.Prompt)
 	if !j.ReadOnly {
