--- a/roles/expert.go
+++ b/roles/expert.go
@@ -66,7 +66,8 @@
 	}
 	half := float64(f.both) / 2
 	x.loss *= math.Exp(-dt / x.losses.Seconds())
-	x.loss += dt * (stageCost(f.reading, float64(x.readers)+half) + stageCost(f.writing, float64(x.writers)+half))
+	soft := softness(float64(f.readers + f.writers + f.both))
+	x.loss += dt * (stageCost(f.reading, float64(x.readers)+half, soft) + stageCost(f.writing, float64(x.writers)+half, soft))
 	x.remember(f, now, dt)
 
 	total := x.readers + x.writers + len(x.coming)
@@ -121,11 +122,12 @@
 
 // cost is what a second would have cost on the mean of the past, with so many readers of a total.
 func (x *expert) cost(readers, total int, half float64) float64 {
-	sum, all := 0.0, 0.0
+	sum, all, soft := 0.0, 0.0, softness(float64(total)+2*half)
 	for i := range x.past {
 		w := &x.past[i]
 		all += w.weight
-		sum += w.weight * (stageCost(w.reading/w.seconds, float64(readers)+half) + stageCost(w.writing/w.seconds, float64(total-readers)+half))
+		sum += w.weight * (stageCost(w.reading/w.seconds, float64(readers)+half, soft) +
+			stageCost(w.writing/w.seconds, float64(total-readers)+half, soft))
 	}
 	return sum / all
 }
--- a/roles/plan.go
+++ b/roles/plan.go
@@ -11,9 +11,8 @@
 
 const (
 	// The loss of a stage, see stageCost.
-	full      = 1.0  // of an engine, what it can be asked for
-	softPart  = 0.04 // of the engines, and ...
-	softLeast = 0.1  // ... engines: how far from the edge chance reaches
+	full     = 1.0  // of an engine, what it can be asked for
+	softRoot = 0.09 // of the root of all engines: how far from the edge chance reaches, in engines
 
 	changePrice = 1.0 // what a change is reckoned to lose, as a part of an engine's work for the time that it takes
 
@@ -236,10 +235,8 @@
 }
 
 // stageCost is the work that a stage with n engines is expected to lose where so much is asked for, in engines: what is
-// over, and near the edge what a queue loses to chance, which counts for more where engines are few. Convex in n, since
-// a soft maximum of two lines is, and stays so when its softness grows as a line.
-func stageCost(work, n float64) float64 {
-	soft := softPart*n + softLeast
+// over, and within soft of the edge what a queue loses to chance. Convex in n, as a soft maximum of two lines is.
+func stageCost(work, n, soft float64) float64 {
 	z := (work - full*n) / soft
 	if z > 30 {
 		return work - full*n
@@ -247,6 +244,9 @@
 	return soft * math.Log1p(math.Exp(z))
 }
 
+// softness is how far chance reaches in a fleet: the more engines, the more, but the less for each.
+func softness(engines float64) float64 { return softRoot * math.Sqrt(max(engines, 1)) }
+
 func (p *Planner) why(f *fleet, what string) string {
 	return fmt.Sprintf("%s: reading asks for %.2f engines, writing for %.2f, of %d readers and %d writers", what, f.reading, f.writing, f.readers, f.writers)
 }
@@ -262,5 +262,6 @@
 // Cost is what a second costs with so many readers and writers, where so much reading and writing is asked for, all in
 // engines; the unit of the law. It is for comparisons.
 func Cost(reading, writing float64, readers, writers int) float64 {
-	return stageCost(reading, float64(readers)) + stageCost(writing, float64(writers))
+	soft := softness(float64(readers + writers))
+	return stageCost(reading, float64(readers), soft) + stageCost(writing, float64(writers), soft)
 }
