--- a/internal/lab/rolesim/sim.go
+++ b/internal/lab/rolesim/sim.go
@@ -104,7 +104,6 @@
 	read     float64
 	write    float64
 	seen     float64 // totals hold up to here
-	reported roles.Report
 	lateTo   []roles.Report
 }
 
