Read again: one sum of both stages' costs, a repeat told by its traits, dead fields out

Cause: the sum of the two stages' costs stood three times, a move's from was written and never read, the wanted number was worked out twice, and a flight held what belongs to the traits read from a request's head.

--- a/internal/api/classify.go
+++ b/internal/api/classify.go
@@ -69,6 +69,7 @@
 	PromptLen         float64
 	PrefixLen, MaxOut float64 // tokens
 	IdempotencyKey    string
+	Repeat            bool // its client repeats it by itself
 }
 
 // Classify reads the traits, or says which part of the request fits no rule.
@@ -101,7 +102,7 @@
 	var size int
 	t.Prefix, size = pickKey(c.Prefixes, r, h)
 	t.PrefixLen = min(float64(size)/model.BytesPerToken, t.PromptLen)
-	t.IdempotencyKey = h.Get("Idempotency-Key")
+	t.IdempotencyKey, t.Repeat = h.Get("Idempotency-Key"), IsRepeat(h)
 	return t, nil
 }
 
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -293,7 +293,7 @@
 		return nil, &api.Error{Status: 503, Type: "server_error", Message: "this front must be restarted; nothing was done"}
 	}
 	now := time.Now()
-	fl := &flight{id: choice.RequestID(n), req: r, traits: t, repeat: api.IsRepeat(req.Header), class: class, to: c, chunks: req.Minor == 1, taken: now,
+	fl := &flight{id: choice.RequestID(n), req: r, traits: t, class: class, to: c, chunks: req.Minor == 1, taken: now,
 		keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{})}
 	told := api.ClientTime(req.Header)
 	wait := class.Deadline
@@ -324,7 +324,7 @@
 	defer c.fl.Store(nil)
 	due := f.loop.now() + time.Until(fl.due)
 	ev := choice.Request{ID: fl.id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix,
-		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due, Repeat: fl.repeat, Doubtful: fl.repeat}
+		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due, Repeat: t.Repeat, Doubtful: t.Repeat}
 	if bend := f.seam.Request; bend != nil {
 		bend(&ev)
 	}
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -31,7 +31,6 @@
 	id     choice.RequestID
 	req    *api.Request
 	traits api.Traits
-	repeat bool // its client tries again by itself
 	class  *choice.Class
 	to     *client
 	whole  *api.Whole // collects the answer for a client that does not stream
--- a/roles/expert.go
+++ b/roles/expert.go
@@ -67,7 +67,7 @@
 	half := float64(f.both) / 2
 	x.loss *= math.Exp(-dt / x.losses.Seconds())
 	soft := softness(float64(f.readers + f.writers + f.both))
-	x.loss += dt * (stageCost(f.reading, float64(x.readers)+half, soft) + stageCost(f.writing, float64(x.writers)+half, soft))
+	x.loss += dt * splitCost(f.reading, f.writing, float64(x.readers)+half, float64(x.writers)+half, soft)
 	x.remember(f, now, dt)
 
 	total := x.readers + x.writers + len(x.coming)
@@ -126,8 +126,7 @@
 	for i := range x.past {
 		w := &x.past[i]
 		all += w.weight
-		sum += w.weight * (stageCost(w.reading/w.seconds, float64(readers)+half, soft) +
-			stageCost(w.writing/w.seconds, float64(total-readers)+half, soft))
+		sum += w.weight * splitCost(w.reading/w.seconds, w.writing/w.seconds, float64(readers)+half, float64(total-readers)+half, soft)
 	}
 	return sum / all
 }
--- a/roles/pick.go
+++ b/roles/pick.go
@@ -24,7 +24,7 @@
 	if want < 0 {
 		from, to, want = Reader, Writer, -want
 	}
-	want -= p.turned(f, plan, to)
+	want -= p.turned(f, plan, to, want)
 	for range max(min(want, atOnce-f.moving), 0) {
 		e := p.pick(f, from, to, false)
 		if e == nil {
@@ -41,7 +41,7 @@
 
 // change begins a move.
 func (p *Planner) change(f *fleet, plan *Plan, e *Engine, to Role, why string) {
-	p.moves[e.ID] = &move{from: e.Role, to: to, since: p.now}
+	p.moves[e.ID] = &move{to: to, since: p.now}
 	plan.Changes = append(plan.Changes, Change{e.ID, to, why})
 	f.count(e.To, -1)
 	f.count(to, 1)
@@ -80,12 +80,8 @@
 	e.To = e.Role
 }
 
-// turned calls off moves away from the role that is wanted now, rather than move others; it tells how many.
-func (p *Planner) turned(f *fleet, plan *Plan, to Role) (n int) {
-	want := plan.Readers - f.readers
-	if want < 0 {
-		want = -want
-	}
+// turned calls off moves away from the role that is wanted now, want at most, rather than move others; it tells how many.
+func (p *Planner) turned(f *fleet, plan *Plan, to Role, want int) (n int) {
 	for i := range f.engines {
 		e := &f.engines[i]
 		if m := p.moves[e.ID]; n < want && m != nil && !m.off && e.moving() && e.Role == to && e.To != Both {
--- a/roles/plan.go
+++ b/roles/plan.go
@@ -53,9 +53,9 @@
 
 // move is a change under way, as the planner last saw it.
 type move struct {
-	from, to Role
-	since    time.Duration
-	off      bool // told back
+	to    Role
+	since time.Duration
+	off   bool // told back
 }
 
 type bar struct {
@@ -217,14 +217,14 @@
 	return m
 }
 
-// track keeps a move until it has ended, learns its time, and bars an engine that could not change.
+// track keeps a move until it has ended, and learns its time.
 func (p *Planner) track(e *Engine) {
 	m := p.moves[e.ID]
 	switch {
 	case e.moving() && m == nil: // begun by another planner before this one
-		p.moves[e.ID] = &move{from: e.Role, to: e.To, since: p.now}
+		p.moves[e.ID] = &move{to: e.To, since: p.now}
 	case e.moving():
-		m.from, m.to = e.Role, e.To
+		m.to = e.To
 	case m != nil:
 		if !m.off && e.Role == m.to {
 			p.cost += costSeen * (min((p.now-m.since+p.set.Warm).Seconds(), p.set.TurnTime.Seconds()) - p.cost)
@@ -244,6 +244,11 @@
 	return soft * math.Log1p(math.Exp(z))
 }
 
+// splitCost is the cost of both stages.
+func splitCost(reading, writing, readers, writers, soft float64) float64 {
+	return stageCost(reading, readers, soft) + stageCost(writing, writers, soft)
+}
+
 // softness is how far chance reaches in a fleet: the more engines, the more, but the less for each.
 func softness(engines float64) float64 { return softRoot * math.Sqrt(max(engines, 1)) }
 
@@ -262,6 +267,5 @@
 // Cost is what a second costs with so many readers and writers, where so much reading and writing is asked for, all in
 // engines; the unit of the law. It is for comparisons.
 func Cost(reading, writing float64, readers, writers int) float64 {
-	soft := softness(float64(readers + writers))
-	return stageCost(reading, float64(readers), soft) + stageCost(writing, float64(writers), soft)
+	return splitCost(reading, writing, float64(readers), float64(writers), softness(float64(readers+writers)))
 }
