--- a/cmd/brackenbend/bench_test.go
+++ b/cmd/brackenbend/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -23,18 +24,61 @@
 )
 
 // The comparison: this front against httputil.ReverseProxy with random choice, each a process of its own in front
-// of the same engines, which answer at once. The proxy makes one hop a request, the front two (read, write).
+// of the same engines, which answer at once. "proxy" makes one exchange a request, at a writer; "proxy2" makes the two
+// that the front makes, on the same transport: it has the prompt read at a reader and forwards to a writer what came.
 // Run: go test ./cmd/brackenbend -run xxx -bench Against -benchtime 1x
 
 // proxyMain is the other side's process; TestMain runs it where BRACKENBEND_TEST_PROXY names the engines.
-func proxyMain(listen, engines string) int {
-	var targets []*url.URL
-	for e := range strings.SplitSeq(engines, ",") {
-		targets = append(targets, &url.URL{Scheme: "http", Host: e})
+func proxyMain(listen, engines string, two bool) int {
+	var readers, writers []*url.URL
+	for i, e := range strings.Split(engines, ",") {
+		u := &url.URL{Scheme: "http", Host: e}
+		if i%2 == 0 {
+			readers = append(readers, u)
+		} else {
+			writers = append(writers, u)
+		}
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 1000}
+	p := &httputil.ReverseProxy{FlushInterval: -1, Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(writers[rand.IntN(len(writers))]) },
+		Transport: transport}
+	if !two {
+		return exit(http.ListenAndServe(listen, p))
 	}
-	p := &httputil.ReverseProxy{FlushInterval: -1, Rewrite: func(r *httputil.ProxyRequest) { r.SetURL(targets[rand.IntN(len(targets))]) },
-		Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}
-	return exit(http.ListenAndServe(listen, p))
+	client := &http.Client{Transport: transport}
+	read := func(r *http.Request) error {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return err
+		}
+		with := func(more string) string { return string(body[:len(body)-1]) + more + "}" }
+		u := *readers[rand.IntN(len(readers))]
+		u.Path = r.URL.Path
+		resp, err := client.Post(u.String(), "application/json", strings.NewReader(with(`,"max_tokens":1,"kv_transfer_params":{"do_remote_decode":true}`)))
+		if err != nil {
+			return err
+		}
+		defer resp.Body.Close()
+		var reply struct {
+			KV json.RawMessage `json:"kv_transfer_params"`
+		}
+		if err := json.NewDecoder(resp.Body).Decode(&reply); err != nil {
+			return err
+		}
+		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+			return err
+		}
+		write := with(`,"kv_transfer_params":` + string(reply.KV))
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(write)), int64(len(write))
+		return nil
+	}
+	return exit(http.ListenAndServe(listen, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if err := read(r); err != nil {
+			http.Error(w, err.Error(), http.StatusBadGateway)
+			return
+		}
+		p.ServeHTTP(w, r)
+	})))
 }
 
 func exit(err error) int {
@@ -79,22 +123,24 @@
 	return l.Addr().String()
 }
 
-// sides are the two processes.
+var sideNames = []string{"front", "proxy", "proxy2"}
+
+// sides are the processes compared.
 type sides struct {
 	engines      []string
-	front, proxy *exec.Cmd
+	cmd          map[string]*exec.Cmd
 	addr         map[string]string
 }
 
 func startSides(b *testing.B, tokens int, pause time.Duration, hold <-chan struct{}) *sides {
-	s := &sides{addr: map[string]string{}}
+	s := &sides{addr: map[string]string{}, cmd: map[string]*exec.Cmd{}}
 	servers := ""
 	for i := range 4 {
 		e := instant(b, tokens, pause, hold)
 		s.engines = append(s.engines, e)
 		servers += fmt.Sprintf("<server name=\"e%d\" kind=%q address=%q/>", i, []string{"reader", "writer"}[i%2], e)
 	}
-	for _, name := range []string{"front", "proxy"} {
+	for _, name := range sideNames {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
@@ -109,11 +155,14 @@
 	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
 		b.Fatal(err)
 	}
-	s.front = exec.Command(os.Args[0], "serve", "-c", file)
-	s.front.Env = append(os.Environ(), asMain...)
-	s.proxy = exec.Command(os.Args[0])
-	s.proxy.Env = append(os.Environ(), "BRACKENBEND_TEST_PROXY="+s.addr["proxy"]+" "+strings.Join(s.engines, ","))
-	for _, c := range []*exec.Cmd{s.front, s.proxy} {
+	for _, name := range sideNames {
+		c := exec.Command(os.Args[0], "serve", "-c", file)
+		c.Env = append(os.Environ(), asMain...)
+		if name != "front" {
+			c = exec.Command(os.Args[0])
+			c.Env = append(os.Environ(), "BRACKENBEND_TEST_PROXY="+name+" "+s.addr[name]+" "+strings.Join(s.engines, ","))
+		}
+		s.cmd[name] = c
 		c.Stderr = os.Stderr
 		if err := c.Start(); err != nil {
 			b.Fatal(err)
@@ -196,12 +245,12 @@
 
 // lost: the front may lose nothing. The proxy now and then cuts an answer; such a request does not count.
 func lost(b *testing.B, name string, err error) {
-	if name != "proxy" {
+	if name == "front" || name == "direct" {
 		b.Error(name, err)
 	}
 }
 
-// BenchmarkAgainstProxyLatency: 150 requests a second, each to one of the three by lot, tokens 5 ms apart.
+// BenchmarkAgainstProxyLatency: 150 requests a second, each to one of the four by lot, tokens 5 ms apart.
 func BenchmarkAgainstProxyLatency(b *testing.B) {
 	for range b.N {
 		s := startSides(b, 20, 5*time.Millisecond, nil)
@@ -213,12 +262,12 @@
 		}
 		var wg sync.WaitGroup
 		rnd := rand.New(rand.NewPCG(1, 1))
-		names := []string{"direct", "front", "proxy"}
+		names := append([]string{"direct"}, sideNames...)
 		next := time.Now()
 		for i := range 150 * 30 { // 150 a second, for 30 s
 			next = next.Add(time.Duration(rnd.ExpFloat64() / 150 * float64(time.Second)))
 			time.Sleep(time.Until(next))
-			name := names[rnd.IntN(3)]
+			name := names[rnd.IntN(len(names))]
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -261,8 +310,8 @@
 				s := startSides(b, tokens, 0, nil)
 				cpu, done := map[string]float64{}, map[string]float64{}
 				for range 4 {
-					for _, name := range []string{"front", "proxy"} {
-						c := map[string]*exec.Cmd{"front": s.front, "proxy": s.proxy}[name]
+					for _, name := range sideNames {
+						c := s.cmd[name]
 						before := proc(b, c, "stat", "")
 						var n atomic.Int64
 						var wg sync.WaitGroup
@@ -290,11 +339,14 @@
 						done[name] += float64(n.Load())
 					}
 				}
-				f, p := done["front"]/cpu["front"], done["proxy"]/cpu["proxy"]
+				f := done["front"] / cpu["front"]
 				b.ReportMetric(f, "front-requests/cpu-s")
-				b.ReportMetric(p, "proxy-requests/cpu-s")
 				b.ReportMetric(f*float64(tokens), "front-tokens/cpu-s")
-				b.ReportMetric(f/p, "ratio")
+				for _, name := range sideNames[1:] {
+					p := done[name] / cpu[name]
+					b.ReportMetric(p, name+"-requests/cpu-s")
+					b.ReportMetric(f/p, "ratio-to-"+name)
+				}
 			}
 		})
 	}
@@ -306,7 +358,7 @@
 	for range b.N {
 		hold := make(chan struct{})
 		s := startSides(b, 1, 0, hold)
-		before := proc(b, s.front, "status", "VmRSS:")
+		before := proc(b, s.cmd["front"], "status", "VmRSS:")
 		var ks []*asker
 		for range n {
 			k := &asker{}
@@ -315,7 +367,7 @@
 			}
 			ks = append(ks, k)
 		}
-		after := proc(b, s.front, "status", "VmRSS:")
+		after := proc(b, s.cmd["front"], "status", "VmRSS:")
 		b.ReportMetric((after-before)/n, "KiB/stream")
 		close(hold)
 		for _, k := range ks {
--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -30,8 +30,8 @@
 		}
 		os.Exit(run(os.Args[1:]))
 	}
-	if listen, engines, ok := strings.Cut(os.Getenv("BRACKENBEND_TEST_PROXY"), " "); ok {
-		os.Exit(proxyMain(listen, engines))
+	if f := strings.Fields(os.Getenv("BRACKENBEND_TEST_PROXY")); len(f) == 3 {
+		os.Exit(proxyMain(f[1], f[2], f[0] == "proxy2"))
 	}
 	os.Exit(m.Run())
 }
--- a/cmd/brackenbend/serve.go
+++ b/cmd/brackenbend/serve.go
@@ -19,6 +19,7 @@
 	"brackenbend/choice"
 	"brackenbend/internal/config"
 	"brackenbend/internal/front"
+	"brackenbend/internal/heap"
 	"brackenbend/internal/obs"
 	"brackenbend/internal/register"
 )
@@ -40,6 +41,9 @@
 	return cmd
 }
 
+// heapFloor is what a front's heap may grow to between collections (docs/front.md, Bounds).
+const heapFloor = 64 << 20
+
 func serve(file string) error {
 	set, err := config.Load(file)
 	if err != nil {
@@ -50,6 +54,9 @@
 		return err
 	}
 	log = log.With(zap.String("front", set.Front.Name))
+	if os.Getenv("GOGC") == "" { // whoever sets it means it
+		defer heap.Floor(heapFloor)()
+	}
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	d, err := startFront(set, log)
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -3,8 +3,8 @@
 package api
 
 import (
-	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/tidwall/gjson"
 
 	"brackenbend/internal/http1"
 )
@@ -80,42 +81,98 @@
 	Prompt       string    // of a completion
 	PromptTokens int       // where the prompt came as token numbers
 
-	fields map[string]json.RawMessage
+	fields []field
 }
 
+// field is one member of the body: its name, and name and value as they came.
+type field struct{ name, key, value string }
+
+// maxDepth bounds how deep a body may nest, as encoding/json does; parsers recurse.
+const maxDepth = 10000
+
+// deep tells that b nests deeper than maxDepth.
+func deep(b []byte) bool {
+	depth, inString := 0, false
+	for i := 0; i < len(b); i++ {
+		switch c := b[i]; {
+		case inString:
+			if c == '\\' {
+				i++
+			} else if c == '"' {
+				inString = false
+			}
+		case c == '"':
+			inString = true
+		case c == '{' || c == '[':
+			if depth++; depth > maxDepth {
+				return true
+			}
+		case c == '}' || c == ']':
+			depth--
+		}
+	}
+	return false
+}
+
+// looked are the fields by which requests are routed. One of them named twice is refused: the engine might go by
+// the other.
+var looked = []string{"model", "stream", "user", "max_tokens", "max_completion_tokens", "messages", "prompt"}
+
 // Parse reads a request body for one of the two completion paths.
 func Parse(path string, body []byte) (*Request, *Error) {
 	r := &Request{Path: path, Chat: path == PathChat}
-	if err := json.Unmarshal(body, &r.fields); err != nil {
-		return nil, invalid("", "the body is not a JSON object: %v", err)
+	if deep(body) {
+		return nil, invalid("", "the body nests deeper than %d levels", maxDepth)
 	}
-	if r.fields == nil {
-		return nil, invalid("", "the body is null, a JSON object is needed")
+	if !gjson.ValidBytes(body) {
+		var v any
+		if err := json.Unmarshal(body, &v); err != nil { // its words tell where
+			return nil, invalid("", "the body is not a JSON object: %v", err)
+		}
+		return nil, invalid("", "the body is not a JSON object")
+	}
+	top := gjson.ParseBytes(body)
+	if !top.IsObject() {
+		return nil, invalid("", "the body is not a JSON object")
 	}
-	if e := r.field("model", &r.Model); e != nil {
+	var twice string
+	r.fields = make([]field, 0, 12)
+	top.ForEach(func(key, value gjson.Result) bool {
+		if _, known := r.get(key.Str); known && slices.Contains(looked, key.Str) {
+			twice = key.Str
+		}
+		r.fields = append(r.fields, field{key.Str, key.Raw, value.Raw})
+		return twice == ""
+	})
+	if twice != "" {
+		return nil, invalid(twice, "%s is given twice", twice)
+	}
+	if e := r.text("model", &r.Model); e != nil {
 		return nil, e
 	}
 	if r.Model == "" {
 		return nil, invalid("model", "model is missing")
 	}
-	if e := r.field("stream", &r.Stream); e != nil {
-		return nil, e
+	switch v, _ := r.get("stream"); v {
+	case "true":
+		r.Stream = true
+	case "", "false", "null":
+	default:
+		return nil, invalid("stream", "stream must be true or false")
 	}
-	if e := r.field("user", &r.User); e != nil {
+	if e := r.text("user", &r.User); e != nil {
 		return nil, e
 	}
 	for _, name := range []string{"max_tokens", "max_completion_tokens"} {
-		var n *int
-		if e := r.field(name, &n); e != nil {
-			return nil, e
-		}
-		if n == nil {
+		v, ok := r.get(name)
+		if !ok || v == "null" {
 			continue
 		}
-		if *n < 1 || *n > math.MaxInt32 {
-			return nil, invalid(name, "%s must be at least 1, it is %d", name, *n)
+		n, err := strconv.ParseInt(v, 10, 32)
+		if err != nil || n < 1 {
+			return nil, invalid(name, "%s must be a whole number from 1 to %d, it is %s", name, math.MaxInt32, quote(v))
 		}
-		r.MaxTokens = *n
+		r.MaxTokens = int(n)
 	}
 	if r.Chat {
 		return r, r.messages()
@@ -123,87 +180,128 @@
 	return r, r.prompt()
 }
 
-func (r *Request) field(name string, into any) *Error {
-	raw, ok := r.fields[name]
+// get is the value of a field as it came.
+func (r *Request) get(name string) (value string, ok bool) {
+	for i := range r.fields {
+		if r.fields[i].name == name {
+			return r.fields[i].value, true
+		}
+	}
+	return "", false
+}
+
+// text reads a field that is a string or null.
+func (r *Request) text(name string, into *string) *Error {
+	raw, ok := r.get(name)
 	if !ok {
 		return nil
 	}
-	if err := json.Unmarshal(raw, into); err != nil {
-		return invalid(name, "%s: %v", name, err)
+	v := gjson.Parse(raw)
+	if v.Type != gjson.String && v.Type != gjson.Null {
+		return invalid(name, "%s must be a string", name)
 	}
+	*into = v.Str
 	return nil
 }
 
 func (r *Request) messages() *Error {
-	var ms []struct {
-		Role    string          `json:"role"`
-		Content json.RawMessage `json:"content"`
-	}
-	if e := r.field("messages", &ms); e != nil {
-		return e
-	}
-	if len(ms) == 0 {
-		return invalid("messages", "messages is missing or empty")
-	}
-	for i, m := range ms {
-		if m.Role == "" {
-			return invalid(fmt.Sprintf("messages[%d].role", i), "messages[%d] has no role", i)
-		}
-		text, err := contentText(m.Content)
-		if err != nil {
-			return invalid(fmt.Sprintf("messages[%d].content", i), "messages[%d].content: %v", i, err)
+	raw, _ := r.get("messages")
+	ms := gjson.Parse(raw)
+	if raw != "" && !ms.IsArray() && ms.Type != gjson.Null {
+		return invalid("messages", "messages must be an array")
+	}
+	var e *Error
+	ms.ForEach(func(_, m gjson.Result) bool {
+		e = r.message(len(r.Messages), m)
+		return e == nil
+	})
+	if e == nil && len(r.Messages) == 0 {
+		e = invalid("messages", "messages is missing or empty")
+	}
+	return e
+}
+
+func (r *Request) message(i int, m gjson.Result) *Error {
+	if !m.IsObject() {
+		return invalid(fmt.Sprintf("messages[%d]", i), "messages[%d] must be an object", i)
+	}
+	var role, content gjson.Result
+	m.ForEach(func(key, value gjson.Result) bool {
+		switch key.Str {
+		case "role":
+			role = value
+		case "content":
+			content = value
 		}
-		r.Messages = append(r.Messages, Message{m.Role, text})
+		return true
+	})
+	if role.Type != gjson.String || role.Str == "" {
+		return invalid(fmt.Sprintf("messages[%d].role", i), "messages[%d] has no role", i)
 	}
+	text, err := contentText(content)
+	if err != nil {
+		return invalid(fmt.Sprintf("messages[%d].content", i), "messages[%d].content: %v", i, err)
+	}
+	r.Messages = append(r.Messages, Message{role.Str, text})
 	return nil
 }
 
 // contentText takes a string, null, or an array of parts, of which the text ones count.
-func contentText(raw json.RawMessage) (string, error) {
-	if len(raw) == 0 || raw[0] != '[' {
-		var s *string
-		if len(raw) > 0 {
-			if err := json.Unmarshal(raw, &s); err != nil {
-				return "", err
-			}
-		}
-		if s == nil {
-			return "", nil
-		}
-		return *s, nil
+func contentText(v gjson.Result) (string, error) {
+	if v.Type == gjson.String || v.Type == gjson.Null {
+		return v.Str, nil
 	}
-	var parts []struct{ Text string }
-	if err := json.Unmarshal(raw, &parts); err != nil {
-		return "", err
+	if !v.IsArray() {
+		return "", errors.New("neither a string nor an array of parts")
 	}
 	var b strings.Builder
-	for _, p := range parts {
-		b.WriteString(p.Text)
-	}
-	return b.String(), nil
+	var err error
+	v.ForEach(func(_, part gjson.Result) bool {
+		text := part.Get("text")
+		if !part.IsObject() || text.Type != gjson.String && text.Type != gjson.Null {
+			err = errors.New("a part must be an object, its text a string")
+			return false
+		}
+		b.WriteString(text.Str)
+		return true
+	})
+	return b.String(), err
 }
 
 // prompt takes a string, an array of one string, or an array of token numbers. Batches are refused: each of
 // their prompts would need a reader and an answer of its own.
 func (r *Request) prompt() *Error {
-	raw, ok := r.fields["prompt"]
+	raw, ok := r.get("prompt")
 	if !ok {
 		return invalid("prompt", "prompt is missing")
 	}
-	var one string
-	var some []string
-	var tokens []int
+	v := gjson.Parse(raw)
 	switch {
-	case json.Unmarshal(raw, &one) == nil:
-		r.Prompt = one
-	case json.Unmarshal(raw, &some) == nil:
-		if len(some) != 1 {
-			return invalid("prompt", "prompt holds %d prompts; send them as one request each", len(some))
+	case v.Type == gjson.String:
+		r.Prompt = v.Str
+		return nil
+	case !v.IsArray():
+		return invalid("prompt", "prompt must be a string, an array of one string, or an array of token numbers")
+	}
+	texts, numbers, others := 0, 0, 0
+	v.ForEach(func(_, p gjson.Result) bool {
+		switch {
+		case p.Type == gjson.String:
+			texts++
+			r.Prompt = p.Str
+		case p.Type == gjson.Number && !strings.ContainsAny(p.Raw, ".eE"):
+			numbers++
+		default:
+			others++
 		}
-		r.Prompt = some[0]
-	case json.Unmarshal(raw, &tokens) == nil:
-		r.PromptTokens = len(tokens)
-		r.Prompt = string(raw)
+		return true
+	})
+	switch {
+	case texts == 1 && numbers+others == 0:
+	case numbers > 0 && texts+others == 0:
+		r.PromptTokens, r.Prompt = numbers, raw
+	case numbers+others == 0:
+		return invalid("prompt", "prompt holds %d prompts; send them as one request each", texts)
 	default:
 		return invalid("prompt", "prompt must be a string, an array of one string, or an array of token numbers")
 	}
@@ -280,65 +378,58 @@
 const remoteDecode = `{"do_remote_decode":true,"do_remote_prefill":false,"remote_engine_id":null,` +
 	`"remote_block_ids":null,"remote_host":null,"remote_port":null}`
 
+// set is a field that the front writes.
+type set struct{ name, value string }
+
 // ReadBody is the body for a reader: one token at most, not streamed, state kept for another engine.
 func (r *Request) ReadBody() []byte {
-	return r.with(map[string]string{"max_tokens": "1", "stream": "false", "kv_transfer_params": remoteDecode},
-		"max_completion_tokens", "stream_options", "min_tokens")
+	most := "max_tokens"
+	if _, ok := r.get(most); !ok {
+		if _, ok := r.get("max_completion_tokens"); ok {
+			most = "max_completion_tokens"
+		}
+	}
+	return r.with([]set{{most, "1"}, {"stream", "false"}, {"kv_transfer_params", remoteDecode}},
+		"max_tokens", "max_completion_tokens", "stream_options", "min_tokens")
 }
 
 // WriteBody is the body for a writer, always streamed; kv is what the reader answered, nil for a request that
 // runs whole. usage asks for the token counts at the end, which a whole answer owes its client.
 func (r *Request) WriteBody(kv json.RawMessage, usage bool) []byte {
-	set := map[string]string{"stream": "true"}
+	put := append(make([]set, 0, 3), set{"stream", "true"})
 	if usage {
-		set["stream_options"] = `{"include_usage":true}`
+		put = append(put, set{"stream_options", `{"include_usage":true}`})
 	}
-	if kv == nil {
-		return r.with(set, "kv_transfer_params")
+	if kv != nil {
+		put = append(put, set{"kv_transfer_params", string(kv)})
 	}
-	set["kv_transfer_params"] = string(kv)
-	return r.with(set)
+	return r.with(put, "kv_transfer_params")
 }
 
-// with writes the body with some fields set and some left out; the others stay to the byte.
-func (r *Request) with(set map[string]string, drop ...string) []byte {
-	if _, ok := r.fields["max_completion_tokens"]; ok && set["max_tokens"] != "" && r.fields["max_tokens"] == nil {
-		set["max_completion_tokens"] = set["max_tokens"]
-		delete(set, "max_tokens")
-	}
-	size := 64
-	for k, v := range r.fields {
-		size += len(k) + len(v) + 4
+// with writes the body with some fields set and some left out; the others stay to the byte, in their order.
+func (r *Request) with(put []set, drop ...string) []byte {
+	size := 2
+	for _, f := range r.fields {
+		size += len(f.key) + len(f.value) + 2
 	}
-	for k, v := range set {
-		size += len(k) + len(v) + 4
+	for _, s := range put {
+		size += len(s.name) + len(s.value) + 4
 	}
 	b := append(make([]byte, 0, size), '{')
-	for k, v := range r.fields {
-		if _, ok := set[k]; !ok && !slices.Contains(drop, k) {
-			b = appendField(b, k, string(v))
+	for _, f := range r.fields {
+		if slices.Contains(drop, f.name) || slices.ContainsFunc(put, func(s set) bool { return s.name == f.name }) {
+			continue
 		}
+		b = append(append(append(append(b, f.key...), ':'), f.value...), ',')
 	}
-	for k, v := range set {
-		b = appendField(b, k, v)
+	for _, s := range put {
+		b = append(append(append(b, '"'), s.name...), '"', ':')
+		b = append(append(b, s.value...), ',')
 	}
 	b[len(b)-1] = '}' // in place of the last comma; at least one field is set
 	return b
 }
 
-func appendField(b []byte, name, value string) []byte {
-	if strings.ContainsFunc(name, func(c rune) bool { return c < ' ' || c > '~' || c == '"' || c == '\\' }) {
-		quoted, err := json.Marshal(name)
-		if err != nil { // strings always marshal
-			panic(err)
-		}
-		b = append(b, quoted...)
-	} else {
-		b = append(append(append(b, '"'), name...), '"')
-	}
-	return append(append(append(b, ':'), value...), ',')
-}
-
 // ReadReply takes a reader's whole answer.
 type ReadReply struct {
 	KV     json.RawMessage // kv_transfer_params, nil when it gave none
@@ -347,24 +438,18 @@
 
 // ParseReadReply reads the answer of an engine to a ReadBody.
 func ParseReadReply(body []byte) (ReadReply, error) {
-	var v struct {
-		KV    json.RawMessage `json:"kv_transfer_params"`
-		Usage struct {
-			Details struct {
-				Cached float64 `json:"cached_tokens"`
-			} `json:"prompt_tokens_details"`
-		} `json:"usage"`
-	}
-	if err := json.Unmarshal(body, &v); err != nil {
-		return ReadReply{}, fmt.Errorf("api: reader's answer: %w", err)
+	if deep(body) || !gjson.ValidBytes(body) {
+		return ReadReply{}, errors.New("api: the reader's answer is not JSON")
 	}
-	if bytes.Equal(v.KV, []byte("null")) {
-		v.KV = nil
+	var r ReadReply
+	if kv := gjson.GetBytes(body, "kv_transfer_params"); kv.Exists() && kv.Type != gjson.Null {
+		r.KV = json.RawMessage(kv.Raw)
 	}
-	if c := v.Usage.Details.Cached; !(c >= 0 && c < 1e9) {
-		v.Usage.Details.Cached = 0
+	cached := gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens")
+	if cached.Type == gjson.Number && cached.Num >= 0 && cached.Num < 1e9 {
+		r.Cached = cached.Num
 	}
-	return ReadReply{v.KV, v.Usage.Details.Cached}, nil
+	return r, nil
 }
 
 // IsRepeat tells that a client repeats a request by itself: the OpenAI SDKs number their tries of one call in
--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -20,6 +20,14 @@
 		`{"model":"m","stream":"yes","messages":[{"role":"user","content":"x"}]}`:    "stream",
 		`{"model":"m","max_tokens":0,"messages":[{"role":"user","content":"x"}]}`:    "max_tokens",
 		`{"model":"m","max_tokens":1e99,"messages":[{"role":"user","content":"x"}]}`: "max_tokens",
+		`{"model":"m","max_tokens":1.5,"messages":[{"role":"user","content":"x"}]}`:  "max_tokens",
+		`{"model":7,"messages":[{"role":"user","content":"x"}]}`:                     "model",
+		`{"model":"m","model":"n","messages":[{"role":"user","content":"x"}]}`:       "model",
+		`{"model":"m","messages":[{"role":"user","content":[{"text":1}]}]}`:          "messages[0].content",
+		`{"model":"m","messages":["x"]}`:                                             "messages[0]",
+		`{"model":"m","messages":{"role":"user"}}`:                                   "messages",
+		`{"model":"m",`: "",
+		`{"model":"m","x":` + strings.Repeat("[", 1<<20) + `}`: "",
 	} {
 		_, err := Parse(PathChat, []byte(body))
 		if err == nil || err.Status != 400 || err.Param != param {
@@ -29,6 +37,14 @@
 	if _, err := Parse(PathCompletions, []byte(`{"model":"m","prompt":["a","b"]}`)); err == nil || err.Param != "prompt" {
 		t.Errorf("a batch: %v", err)
 	}
+	for _, p := range []string{`[]`, `[1,"a"]`, `[1.5]`, `{}`, `7`, `[[1],[2]]`} {
+		if _, err := Parse(PathCompletions, []byte(`{"model":"m","prompt":`+p+`}`)); err == nil || err.Param != "prompt" {
+			t.Errorf("prompt %s: %v", p, err)
+		}
+	}
+	if _, err := ParseReadReply([]byte(strings.Repeat(`{"a":`, 1<<20))); err == nil {
+		t.Error("a reader's answer nested a million deep was taken")
+	}
 	if r, err := Parse(PathCompletions, []byte(`{"model":"m","prompt":[1,2,3]}`)); err != nil || r.Tokens(4) != 3 {
 		t.Errorf("token numbers: %v", err)
 	}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -79,8 +79,9 @@
 type Sink interface {
 	// Begin claims the client's answer when the first token is here; false: another answer was given.
 	Begin() bool
-	// Events takes one or more whole events, valid during the call. An error ends the attempt.
-	Events(p []byte) error
+	// Events takes one or more whole events, valid during the call; last: the stream's end is among them. An error
+	// ends the attempt.
+	Events(p []byte, last bool) error
 }
 
 // Attempt is the handle by which an attempt is called off. The zero value is ready.
@@ -112,6 +113,14 @@
 	return a.off
 }
 
+// stops makes stop what Cancel calls; false if the attempt is already off.
+func (a *Attempt) stops(stop context.CancelFunc) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stop = stop
+	return !a.off
+}
+
 // hold makes conn the one that Cancel closes; false if the attempt is already off.
 func (a *Attempt) hold(c net.Conn) bool {
 	a.mu.Lock()
@@ -157,22 +166,10 @@
 		}
 		return nil, nil, &out
 	}
-	var ctx context.Context
-	var stop context.CancelFunc
-	if call.Deadline.IsZero() {
-		ctx, stop = context.WithCancel(context.Background())
-	} else {
-		ctx, stop = context.WithDeadline(context.Background(), call.Deadline)
-	}
-	defer stop()
-	a.mu.Lock()
-	a.stop = stop
-	off := a.off
-	a.mu.Unlock()
-	if off || !s.IsOpen() {
+	if a.cancelled() || !s.IsOpen() {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: errShut})
 	}
-	k, err := c.take(ctx, s, call.Once)
+	k, err := c.take(a, s, call.Once, call.Deadline)
 	if errors.Is(err, errTooMany) {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: err})
 	}
@@ -344,7 +341,7 @@
 		}
 		from, end, out := a.scan(buf[:have], sink)
 		if end > from {
-			if err := sink.Events(buf[from:end]); err != nil {
+			if err := sink.Events(buf[from:end], out != nil && out.Result == choice.Served); err != nil {
 				return Outcome{Result: choice.Cancelled, Err: err}
 			}
 		}
@@ -412,9 +409,7 @@
 }
 
 func (c *Client) release(s *Server, id string, body []byte, deadline time.Time) error {
-	ctx, stop := context.WithDeadline(context.Background(), deadline)
-	defer stop()
-	k, err := c.take(ctx, s, false)
+	k, err := c.take(nil, s, false, deadline)
 	if err != nil {
 		return err
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -60,10 +60,12 @@
 	begun  int
 	refuse bool
 	fail   error
+	last   bool // told with the latest events
 }
 
 func (s *sink) Begin() bool { s.begun++; return !s.refuse }
-func (s *sink) Events(p []byte) error {
+func (s *sink) Events(p []byte, last bool) error {
+	s.last = last
 	s.got.Write(p)
 	return s.fail
 }
@@ -151,6 +153,9 @@
 			if out.Result != c.want || to.begun != c.begun {
 				t.Errorf("result %d (%v), want %d; begun %d, want %d", out.Result, out.Err, c.want, to.begun, c.begun)
 			}
+			if c.begun == 1 && to.last != (c.want == choice.Served) {
+				t.Errorf("last told: %v", to.last)
+			}
 			if c.want == choice.Served && c.begun == 1 && (to.got.String() != "data: {}\n\ndata: [DONE]\n\n" || len(out.Report) != 2 || out.Report[0] != 0.5 || out.Report[1] == out.Report[1]) {
 				t.Errorf("relayed %q, report %v", to.got.String(), out.Report)
 			}
@@ -185,7 +190,7 @@
 	}
 	// a drain that is told while the connection is being made
 	s.Open()
-	k, err := c.take(t.Context(), s, true)
+	k, err := c.take(nil, s, true, time.Time{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -323,7 +328,7 @@
 type nullSink struct{}
 
 func (nullSink) Begin() bool         { return true }
-func (nullSink) Events([]byte) error { return nil }
+func (nullSink) Events([]byte, bool) error { return nil }
 
 func FuzzParseLoad(f *testing.F) {
 	f.Add("TEXT a=0.1, named_metrics.b=2")
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -68,8 +68,9 @@
 
 var errTooMany = errors.New("engine: connections to it are at their cap")
 
-// take gets a connection: an idle one that is alive, unless fresh is asked for, else a new one.
-func (c *Client) take(ctx context.Context, s *Server, fresh bool) (*conn, error) {
+// take gets a connection: an idle one that is alive, unless fresh is asked for, else a new one until deadline
+// (zero = none). a, where given, can call the dial off.
+func (c *Client) take(a *Attempt, s *Server, fresh bool, deadline time.Time) (*conn, error) {
 	s.mu.Lock()
 	for !fresh && len(s.idle) > 0 {
 		k := s.idle[len(s.idle)-1]
@@ -93,8 +94,7 @@
 	}
 	s.total++
 	s.mu.Unlock()
-	d := net.Dialer{Timeout: c.DialTime}
-	nc, err := d.DialContext(ctx, "tcp", s.Address)
+	nc, err := c.dial(a, s, deadline)
 	if err != nil {
 		s.mu.Lock()
 		s.total--
@@ -104,6 +104,16 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096)}, nil
 }
 
+func (c *Client) dial(a *Attempt, s *Server, deadline time.Time) (net.Conn, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	if a != nil && !a.stops(stop) {
+		return nil, errShut
+	}
+	d := net.Dialer{Timeout: c.DialTime, Deadline: deadline}
+	return d.DialContext(ctx, "tcp", s.Address)
+}
+
 // give returns a connection after use; only one whose last message ended cleanly is kept.
 func (c *Client) give(s *Server, k *conn, clean bool) {
 	s.mu.Lock()
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -110,8 +110,10 @@
 	if err != nil {
 		return nil, io.EOF
 	}
-	if err := c.nc.SetReadDeadline(time.Now().Add(l.HeadTime)); err != nil {
-		return nil, err
+	if !http1.HeadBuffered(c.br) {
+		if err := c.nc.SetReadDeadline(time.Now().Add(l.HeadTime)); err != nil {
+			return nil, err
+		}
 	}
 	return http1.ReadRequest(c.br, c.f.limits)
 }
@@ -247,8 +249,10 @@
 			return false
 		}
 	}
-	if c.nc.SetReadDeadline(time.Now().Add(f.set.Limits.BodyTime)) != nil {
-		return false
+	if req.Chunked || req.Length > int64(c.br.Buffered()) {
+		if c.nc.SetReadDeadline(time.Now().Add(f.set.Limits.BodyTime)) != nil {
+			return false
+		}
 	}
 	text, err := http1.ReadAll(body, int64(f.set.Limits.Body))
 	if err != nil {
@@ -315,20 +319,14 @@
 
 // fly hands a flight to the loop and sees it to its end.
 func (c *client) fly(fl *flight) bool {
-	f, t := c.f, &fl.traits
+	f := c.f
 	backstop := fl.due.Add(f.set.Front.Margin / 2)
 	if c.nc.SetReadDeadline(backstop) != nil {
 		return false
 	}
 	c.fl.Store(fl)
 	defer c.fl.Store(nil)
-	due := f.loop.now() + time.Until(fl.due)
-	ev := choice.Request{ID: fl.id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix,
-		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due, Repeat: t.Repeat, Doubtful: t.Repeat}
-	if bend := f.seam.Request; bend != nil {
-		bend(&ev)
-	}
-	f.loop.post(item{fl: fl, ev: ev})
+	f.loop.tell(fl)
 	left := c.await(fl, backstop)
 	if left {
 		fl.result = "gone"
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -147,27 +147,39 @@
 
 func (a *attempt) run(l *loop) {
 	a.began, a.post = time.Now(), l.post
+	out := a.perform(l)
+	a.conclude(l, &out)
+}
+
+// perform is all that an attempt does while it lasts; its frame stays small, since it lasts as long as the stream.
+//
+//go:noinline
+func (a *attempt) perform(l *loop) engine.Outcome {
 	call := engine.Call{Path: a.fl.req.Path, ID: a.id, Key: a.fl.traits.IdempotencyKey, Deadline: a.limit}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
-	var out engine.Outcome
 	if a.write {
 		call.Body = a.fl.req.WriteBody(a.kv, a.fl.whole != nil)
 		call.Once = a.fl.class.Effect == choice.Unsafe
-		out = l.client.Write(&a.handle, a.srv, call, a)
-	} else {
-		call.Body = a.fl.req.ReadBody()
-		out = l.client.Read(&a.handle, a.srv, call)
+		return l.client.Write(&a.handle, a.srv, call, a)
 	}
+	call.Body = a.fl.req.ReadBody()
+	return l.client.Read(&a.handle, a.srv, call)
+}
+
+// conclude tells everyone how the attempt ended.
+//
+//go:noinline
+func (a *attempt) conclude(l *loop, out *engine.Outcome) {
 	if bend := l.f.seam.Outcome; bend != nil {
-		bend(a.write, &out)
+		bend(a.write, out)
 	}
 	took := time.Since(a.began)
 	a.resultMu.Lock()
 	a.result, a.took = resultNames[out.Result], took
 	a.resultMu.Unlock()
-	over := a.finish(&out)
+	over := a.finish(out)
 	a.unsent = out.Result == choice.NotSent || out.Result == choice.ConnectFailed || out.Result == choice.Turned
 	close(a.ended)
 	if !a.write && out.Result != choice.ReadDone { // a state that it may have left is known to nobody
@@ -298,12 +310,15 @@
 }
 
 // Events implements engine.Sink. The head waits in a.out for the first events, to go out with them.
-func (a *attempt) Events(p []byte) error {
+func (a *attempt) Events(p []byte, last bool) error {
 	if a.fl.whole != nil {
 		return a.collect(p)
 	}
 	a.takeFrame()
 	a.out = a.frame(a.out, p)
+	if last { // endStream writes it with the end of the body
+		return nil
+	}
 	a.broken = a.fl.to.write(a.out)
 	a.dropFrame()
 	return a.broken
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -12,6 +12,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -195,5 +196,7 @@
 
 // wideID names an attempt over all fronts and restarts.
 func (f *Front) wideID(id choice.RequestID, attempt int) string {
-	return fmt.Sprintf("%s-%x-%d", f.run, uint32(id), attempt)
+	b := append(make([]byte, 0, len(f.run)+16), f.run...)
+	b = strconv.AppendUint(append(b, '-'), uint64(id), 16)
+	return string(strconv.AppendInt(append(b, '-'), int64(attempt), 10))
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
 	"brackenbend/choice"
@@ -39,6 +40,8 @@
 	wake   chan struct{}
 	done   chan struct{}
 	work   sync.WaitGroup // attempts and releases
+	tasks  chan *attempt  // to workers that wait
+	idle   atomic.Int64   // workers that wait
 	listed atomic.Bool
 
 	// owned by the loop's goroutine
@@ -50,6 +53,7 @@
 	touched []*flight      // that this round may have ended
 	sweep   bool           // a list came in this round
 	ending  bool
+	ends    [2][len(resultNames)]prometheus.Counter // attempts that ended: reads, writes
 }
 
 type listed struct {
@@ -61,8 +65,13 @@
 const epoch = 24 * time.Hour
 
 func newLoop(f *Front, r *choice.Router, c *engine.Client) *loop {
-	l := &loop{f: f, router: r, client: c, start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}),
+	l := &loop{f: f, router: r, client: c, start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), tasks: make(chan *attempt),
 		flights: map[choice.RequestID]*flight{}, servers: map[string]*listed{}, byID: map[choice.ServerID]*listed{}, places: map[string]int{}}
+	for i, stage := range []string{"read", "write"} {
+		for r, name := range resultNames {
+			l.ends[i][r] = f.m.Attempts.WithLabelValues(stage, name)
+		}
+	}
 	go l.run()
 	return l
 }
@@ -82,6 +91,20 @@
 	}
 }
 
+// tell brings a new flight.
+//
+//go:noinline
+func (l *loop) tell(fl *flight) {
+	t := &fl.traits
+	ev := choice.Request{ID: fl.id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix,
+		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: l.now() + time.Until(fl.due),
+		Repeat: t.Repeat, Doubtful: t.Repeat}
+	if bend := l.f.seam.Request; bend != nil {
+		bend(&ev)
+	}
+	l.post(item{fl: fl, ev: ev})
+}
+
 // close calls off what is still out, and ends the loop once no flight is left and every state is let go.
 func (l *loop) close() {
 	l.post(item{stop: true})
@@ -183,11 +206,11 @@
 	if ev.Result == choice.ReadDone {
 		fl.kv = it.kv
 	}
-	stage := "read"
+	stage := &l.ends[0]
 	if fl.attempts[ev.Attempt].write {
-		stage = "write"
+		stage = &l.ends[1]
 	}
-	l.f.m.Attempts.WithLabelValues(stage, resultNames[ev.Result]).Inc()
+	stage[ev.Result].Inc()
 }
 
 var resultNames = [...]string{choice.Served: "served", choice.Errored: "errored", choice.Turned: "turned", choice.TimedOut: "timed out",
@@ -249,10 +272,34 @@
 	fl.note(att)
 	fl.out++
 	l.work.Add(1)
-	go func() {
-		defer l.work.Done()
+	select {
+	case l.tasks <- att: // to a worker that waits
+	default:
+		go l.worker(att)
+	}
+}
+
+// idleWorkers is how many goroutines wait for the next attempt at most: their stacks have grown to what an attempt
+// needs, which saves copying a new one's as it grows.
+const idleWorkers = 256
+
+// worker runs attempts until enough others wait for the next one, or the loop ends.
+func (l *loop) worker(att *attempt) {
+	for {
 		att.run(l)
-	}()
+		l.work.Done()
+		att = nil
+		if l.idle.Add(1) > idleWorkers {
+			l.idle.Add(-1)
+			return
+		}
+		select {
+		case att = <-l.tasks:
+			l.idle.Add(-1)
+		case <-l.done:
+			return
+		}
+	}
 }
 
 func minTime(a, b time.Time) time.Time {
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -94,6 +94,9 @@
 // readHead takes lines up to the empty one and returns them without it. io.EOF means that nothing came at
 // all; a head cut in the middle is io.ErrUnexpectedEOF.
 func readHead(br *bufio.Reader, limit int, skipEmpty bool) (string, error) {
+	if head, ok := buffered(br, limit); ok {
+		return head, nil
+	}
 	var buf []byte
 	start := 0
 	for {
@@ -129,6 +132,36 @@
 	}
 }
 
+var headEnd = []byte("\r\n\r\n")
+
+// HeadBuffered tells that a whole head is in br, so that reading it waits for nothing.
+func HeadBuffered(br *bufio.Reader) bool {
+	p, _ := br.Peek(br.Buffered())
+	return bytes.Contains(p, headEnd)
+}
+
+// buffered takes a head that is in br as a whole and has nothing amiss, the usual case; all others are left to the
+// reading by lines.
+func buffered(br *bufio.Reader, limit int) (head string, ok bool) {
+	if br.Buffered() == 0 {
+		if _, err := br.Peek(1); err != nil {
+			return "", false
+		}
+	}
+	p, _ := br.Peek(br.Buffered())
+	i := bytes.Index(p, headEnd)
+	if i <= 0 || i+4 > limit || p[0] == '\r' {
+		return "", false
+	}
+	p = p[:i+2]
+	if n := bytes.Count(p, headEnd[:2]); n != bytes.Count(p, headEnd[:1]) || n != bytes.Count(p, headEnd[1:2]) {
+		return "", false // a bare CR or LF
+	}
+	head = string(p)
+	_, _ = br.Discard(i + 4)
+	return head, true
+}
+
 // ReadRequest reads one request head. io.EOF: the connection ended between messages.
 func ReadRequest(br *bufio.Reader, lim Limits) (*Request, error) {
 	head, err := readHead(br, lim.Head, true)
@@ -228,6 +261,7 @@
 
 // fields parses header lines.
 func (m *Message) fields(s string, most int) error {
+	m.Header = make(Header, 0, min(strings.Count(s, "\n"), most))
 	for s != "" {
 		var line string
 		line, s, _ = strings.Cut(s, "\r\n")
@@ -307,9 +341,10 @@
 	br      *bufio.Reader
 	left    int64 // of the body or of the present chunk; -1 = until close
 	chunked bool
-	first   bool
+	first   bool // no chunk came yet, or the end of the last one was taken already
 	done    bool
 	limit   int
+	err     error // met while waiting, for the next Read
 }
 
 // Reset sets b to the body of m, which follows in br.
@@ -329,6 +364,9 @@
 	if b.done {
 		return 0, io.EOF
 	}
+	if b.err != nil {
+		return 0, b.err
+	}
 	if b.chunked && b.left == 0 {
 		if err := b.nextChunk(); err != nil {
 			return 0, err
@@ -355,11 +393,18 @@
 	return n, err
 }
 
-// Wait returns when the connection has something for the body, or failed; Read tells which.
+// Wait returns when the connection has something for the body, or failed; Read tells which. The end of the chunk
+// that was read last is no such thing.
 func (b *Body) Wait() {
-	if !b.done {
-		_, _ = b.br.Peek(1)
+	if b.done || b.err != nil {
+		return
+	}
+	if b.chunked && b.left == 0 {
+		if b.err = b.endChunk(); b.err != nil {
+			return
+		}
 	}
+	_, _ = b.br.Peek(1)
 }
 
 // Ready tells that a Read will return without waiting for the connection.
@@ -376,13 +421,25 @@
 	return i >= 0 && i+1 < len(p)
 }
 
+// endChunk takes the line end behind a chunk's data, once.
+func (b *Body) endChunk() error {
+	if b.first {
+		return nil
+	}
+	line, err := b.line()
+	if err != nil {
+		return err
+	}
+	if len(line) != 0 {
+		return bad("chunk longer than told")
+	}
+	b.first = true
+	return nil
+}
+
 func (b *Body) nextChunk() error {
-	if !b.first {
-		if line, err := b.line(); err != nil {
-			return err
-		} else if len(line) != 0 {
-			return bad("chunk longer than told")
-		}
+	if err := b.endChunk(); err != nil {
+		return err
 	}
 	b.first = false
 	line, err := b.line()
@@ -452,11 +509,22 @@
 	return -1
 }
 
+// exact is up to which length memory is taken before the bytes are here.
+const exact = 64 << 10
+
 // ReadAll reads a body of at most limit bytes; more is an *Error with status 413.
 func ReadAll(b *Body, limit int64) ([]byte, error) {
 	if !b.chunked && b.left > limit {
 		return nil, &Error{413, fmt.Sprintf("body over %d bytes", limit)}
 	}
+	if n := b.left; !b.chunked && n >= 0 && n <= exact {
+		data := make([]byte, n)
+		_, err := io.ReadFull(b, data)
+		if err == io.EOF && n > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		return data, err
+	}
 	data, err := io.ReadAll(io.LimitReader(b, limit+1))
 	if err == nil && int64(len(data)) > limit {
 		err = &Error{413, fmt.Sprintf("body over %d bytes", limit)}
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"reflect"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -118,6 +119,65 @@
 	}
 }
 
+// script gives its pieces one a read and counts reads.
+type script struct {
+	pieces []string
+	reads  int
+}
+
+func (s *script) Read(p []byte) (int, error) {
+	s.reads++
+	if len(s.pieces) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, s.pieces[0])
+	s.pieces = s.pieces[1:]
+	return n, nil
+}
+
+// A stream that waits must not be told that there is something because of what ends the last chunk: it would take a
+// buffer and hold it for as long as it waits.
+func TestWaitPassesOverTheEndOfAChunk(t *testing.T) {
+	s := &script{pieces: []string{"2\r\nab\r\n", "2\r\ncd\r", "\n", "0\r\n\r\n"}}
+	var b Body
+	b.Reset(bufio.NewReader(s), &Message{Length: -1, Chunked: true}, lim)
+	p := make([]byte, 10)
+	for i, want := range []string{"ab", "cd", ""} {
+		b.Wait()
+		if reads := []int{1, 2, 4}[i]; s.reads != reads {
+			t.Errorf("wait %d returned after %d reads, want %d", i, s.reads, reads)
+		}
+		n, err := b.Read(p)
+		if string(p[:n]) != want || (err == io.EOF) != (want == "") {
+			t.Fatalf("%q %v", p[:n], err)
+		}
+	}
+	b.Reset(reader("2\r\nabX"), &Message{Length: -1, Chunked: true}, lim)
+	var e *Error
+	if n, err := b.Read(p); n != 2 || err != nil {
+		t.Fatal(n, err)
+	}
+	b.Wait()
+	if _, err := b.Read(p); !errors.As(err, &e) && !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a chunk longer than told: %v", err)
+	}
+}
+
+// FuzzHeads: a head reads the same whether it is here as a whole or comes a byte at a time.
+func FuzzHeads(f *testing.F) {
+	for _, s := range []string{"GET / HTTP/1.1\r\nHost: a\r\n\r\n", "\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\nHost: a\r\n\r\n",
+		"GET / HTTP/1.1\r\nHost: a\r\r\n\r\n", "\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\n\r\n", "GET / HTTP/1.1\r\nHost: a\r\n\n\r\n", "\n\r\n\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		whole, err := ReadRequest(bufio.NewReaderSize(bytes.NewReader(data), 8192), lim)
+		parts, perr := ReadRequest(bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(data)), 8192), lim)
+		if (err == nil) != (perr == nil) || err != nil && err.Error() != perr.Error() || !reflect.DeepEqual(whole, parts) {
+			t.Fatalf("%+v %v, by bytes %+v %v", whole, err, parts, perr)
+		}
+	})
+}
+
 // FuzzRequest: whatever this parser accepts, net/http accepts too and frames alike.
 func FuzzRequest(f *testing.F) {
 	f.Add([]byte("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"))
