--- a/cmd/brackenbend/bench_test.go
+++ b/cmd/brackenbend/bench_test.go
@@ -127,9 +127,9 @@
 
 // sides are the processes compared.
 type sides struct {
-	engines      []string
-	cmd          map[string]*exec.Cmd
-	addr         map[string]string
+	engines []string
+	cmd     map[string]*exec.Cmd
+	addr    map[string]string
 }
 
 func startSides(b *testing.B, tokens int, pause time.Duration, hold <-chan struct{}) *sides {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -327,7 +327,7 @@
 
 type nullSink struct{}
 
-func (nullSink) Begin() bool         { return true }
+func (nullSink) Begin() bool               { return true }
 func (nullSink) Events([]byte, bool) error { return nil }
 
 func FuzzParseLoad(f *testing.F) {
