--- a/cmd/brackenbend/broken_test.go
+++ b/cmd/brackenbend/broken_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"brackenbend/choice"
-	"brackenbend/internal/day"
 	"brackenbend/internal/engine"
 	"brackenbend/internal/front"
+	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/register"
 )
 
@@ -119,7 +119,7 @@
 			t.Parallel()
 			caught, breaches := 0, 0
 			for i := range days {
-				d, err := day.Default()
+				d, err := scene.Default()
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -144,7 +144,7 @@
 
 func brokenShort(t *testing.T, name, happens string) {
 	t.Parallel()
-	d, err := day.Parse("broken.xml", []byte(`<day length="6s" rate="40/s" fronts="2" seed="3">
+	d, err := scene.Parse("broken.xml", []byte(`<day length="6s" rate="40/s" fronts="2" seed="3">
   <service max-attempts="4" release-within="500ms" drain-grace="500ms" writers-read="true" cancel="true" client-retries="1"/>
   <engines kind="prefill" role="reader" count="2" slots="8" queue="40" memory="250000tokens" read-rate="20000/s"/>
   <engines kind="decode" role="writer" count="3" slots="48" queue="24" memory="180000tokens" read-rate="7000/s" step="20ms" fetch-rate="250000/s"/>
--- a/cmd/brackenbend/day.go
+++ b/cmd/brackenbend/day.go
@@ -12,11 +12,12 @@
 	"github.com/spf13/cobra"
 
 	"brackenbend/internal/day"
+	"brackenbend/internal/lab/scene"
 )
 
 func dayCommand() *cobra.Command {
 	var seconds float64
-	var jsonFile, record, keep string
+	var jsonFile, record, keep, plots, foresee string
 	var quiet bool
 	cmd := &cobra.Command{
 		Use:   "day [FILE]",
@@ -27,9 +28,9 @@
 		Example: "  brackenbend day\n  brackenbend day --seconds 20 --json report.json\n  brackenbend day days/mass-restart.xml",
 		Args:    cobra.MaximumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			d, err := day.Default()
+			d, err := scene.Default()
 			if len(args) == 1 {
-				d, err = day.Load(args[0])
+				d, err = scene.Load(args[0])
 			}
 			if err != nil {
 				return configError(err)
@@ -52,6 +53,11 @@
 			if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 				return err
 			}
+			if foresee != "" {
+				if o.Foreseen, err = foreseen(foresee); err != nil {
+					return coded{err, exitUsage}
+				}
+			}
 			if !quiet {
 				o.Log = cmd.ErrOrStderr()
 			}
@@ -62,6 +68,14 @@
 				return err
 			}
 			rep.WriteText(cmd.OutOrStdout())
+			if plots != "" {
+				if err := os.MkdirAll(plots, 0o755); err != nil {
+					return err
+				}
+				if err := rep.Plot(plots); err != nil {
+					return err
+				}
+			}
 			if jsonFile != "" {
 				if err := writeFile(jsonFile, func(f *os.File) error { return rep.WriteJSON(f) }); err != nil {
 					return err
@@ -90,12 +104,30 @@
 	f := cmd.Flags()
 	f.Float64Var(&seconds, "seconds", 0, "scale the day to last so long")
 	f.StringVar(&jsonFile, "json", "", "write the report to this file as JSON")
+	f.StringVar(&plots, "plots", "", "folder for plots of service, and of roles, over time (SVG)")
+	f.StringVar(&foresee, "foresee", "", "report of an earlier run of a day whose engines change role (--json): roles follow the cheapest course for the work seen then")
 	f.StringVar(&record, "record", "", "write what passed on the sockets to this file, a JSON line an event")
 	f.StringVar(&keep, "keep", "", "folder that keeps the fronts' settings, lists and logs")
 	f.BoolVarP(&quiet, "quiet", "q", false, "do not print what happens while it happens")
 	return cmd
 }
 
+// foreseen reads the work over time from a day's report.
+func foreseen(path string) ([]day.RoleSecond, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var rep day.Report
+	if err := json.Unmarshal(text, &rep); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(rep.Roles) == 0 {
+		return nil, fmt.Errorf("%s: its engines do not change role; make it with a day that has a planner, and --json", path)
+	}
+	return rep.Roles, nil
+}
+
 func writeFile(path string, write func(*os.File) error) error {
 	f, err := os.Create(path)
 	if err != nil {
--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -18,6 +18,7 @@
 	"brackenbend/internal/audit"
 	"brackenbend/internal/day"
 	"brackenbend/internal/front"
+	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/standin/engine"
 	"brackenbend/internal/standin/loopback"
 )
@@ -38,7 +39,7 @@
 
 var asMain = []string{"BRACKENBEND_TEST_MAIN=1"}
 
-func play(t *testing.T, d *day.Day, length time.Duration, env ...string) *day.Report {
+func play(t *testing.T, d *scene.Day, length time.Duration, env ...string) *day.Report {
 	t.Helper()
 	if err := d.Scale(length); err != nil {
 		t.Fatal(err)
@@ -59,7 +60,7 @@
 }
 
 func TestShortBadDay(t *testing.T) {
-	d, err := day.Default()
+	d, err := scene.Default()
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -75,11 +76,11 @@
 		t.Fatalf("%v %v", files, err)
 	}
 	for _, f := range files {
-		if _, err := day.Load(f); err != nil {
+		if _, err := scene.Load(f); err != nil {
 			t.Error(err)
 		}
 	}
-	if _, err := day.Default(); err != nil {
+	if _, err := scene.Default(); err != nil {
 		t.Error(err)
 	}
 }
--- a/internal/day/report.go
+++ b/internal/day/report.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"slices"
 	"time"
 
 	"brackenbend/internal/audit"
+	"brackenbend/internal/lab/scene"
 )
 
 // Report is what came of a day.
@@ -15,49 +15,20 @@
 	Seconds  float64         `json:"seconds"`
 	LagMS    float64         `json:"worst_lag_ms"` // of this process; slack of the rules that compare two sockets' times
 	Service  float64         `json:"service"`      // worth served over worth asked
-	Classes  []Row           `json:"classes"`
-	Tenants  []Row           `json:"tenants"`
+	Classes  []scene.Row     `json:"classes"`
+	Tenants  []scene.Row     `json:"tenants"`
 	Attempts map[string]int  `json:"attempts"` // as the engines saw them
 	Rules    []audit.Verdict `json:"rules"`
 	Expected float64         `json:"expected_service,omitempty"`
 	Roles    []RoleSecond    `json:"roles,omitempty"` // where engines change role
+	Course   []scene.Second  `json:"course"`          // by the second of asking
 	Events   []audit.Event   `json:"-"`
 }
 
-// Row is a tally with what follows from it.
-type Row struct {
-	tally
-	Service  float64 `json:"service"`
-	FirstP50 float64 `json:"first_token_p50_ms"`
-	FirstP99 float64 `json:"first_token_p99_ms"`
-}
-
-func row(t tally) Row {
-	r := Row{tally: t}
-	if t.Asked > 0 {
-		r.Service = t.Worth / t.Asked
-	}
-	slices.Sort(t.firsts)
-	if n := len(t.firsts); n > 0 {
-		r.FirstP50 = float64(t.firsts[n/2].Microseconds()) / 1000
-		r.FirstP99 = float64(t.firsts[n*99/100].Microseconds()) / 1000
-	}
-	return r
-}
-
 func (r *run) report(t *traffic, lag time.Duration) *Report {
 	rep := &Report{Seconds: r.d.Length.Seconds(), LagMS: float64(lag.Microseconds()) / 1000, Attempts: map[string]int{}, Events: r.rec.Events()}
-	worth, asked := 0.0, 0.0
-	for _, c := range t.class {
-		rep.Classes = append(rep.Classes, row(c))
-		worth, asked = worth+c.Worth, asked+c.Asked
-	}
-	for _, c := range t.ten {
-		rep.Tenants = append(rep.Tenants, row(c))
-	}
-	if asked > 0 {
-		rep.Service = worth / asked
-	}
+	rep.Course, rep.Service = t.score.Course, t.score.Service()
+	rep.Classes, rep.Tenants = t.score.Rows()
 	for _, e := range rep.Events {
 		switch {
 		case e.Kind == audit.Arrive && e.Write:
@@ -104,7 +75,7 @@
 	fmt.Fprintf(w, "\nservice %.3f over %.0f s\n\n", r.Service, r.Seconds)
 	head := "%-12s %8s %7s %7s %5s %8s %7s %7s %5s %5s %6s %9s %9s\n"
 	line := "%-12s %8d %7.3f %7d %5d %8d %7d %7d %5d %5d %6d %7.0fms %7.0fms\n"
-	for i, rows := range [][]Row{r.Classes, r.Tenants} {
+	for i, rows := range [][]scene.Row{r.Classes, r.Tenants} {
 		fmt.Fprintf(w, head, []string{"class", "tenant"}[i], "requests", "service", "served", "late", "refused", "failed", "broken", "left", "lost", "tries", "first p50", "p99")
 		for _, c := range rows {
 			fmt.Fprintf(w, line, c.Name, c.Requests, c.Service, c.Served, c.Late, c.Refused, c.Failed, c.Broken, c.Left, c.Lost, c.Tries, c.FirstP50, c.FirstP99)
--- a/internal/day/roles.go
+++ b/internal/day/roles.go
@@ -1,22 +1,23 @@
 package day
 
 import (
+	"cmp"
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
+	"brackenbend/internal/lab/rolesim"
+	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/planner"
 	"brackenbend/internal/standin/engine"
 	"brackenbend/internal/standin/model"
 	"brackenbend/roles"
 )
 
-// kindBoth is the kind of an engine that does both because nothing else is left.
-const kindBoth = "both-for-need"
-
 // shift is what engines that change role share.
 type shift struct {
 	r      *run
@@ -36,10 +37,10 @@
 			continue
 		}
 		if s.kinds == nil {
-			s.kinds = map[roles.Role]string{roles.Both: kindBoth}
+			s.kinds = map[roles.Role]string{roles.Both: scene.KindBoth}
 		}
 		role := roleOf(k.Role)
-		p := r.params(&k)
+		p := r.d.Params(&k)
 		if role == roles.Writer {
 			p.Reads = r.d.Service.WritersRead
 		}
@@ -90,6 +91,41 @@
 	seen []RoleSecond
 }
 
+// foreseen moves engines by a course that was found beforehand.
+type foreseen struct {
+	r      *run
+	ahead  time.Duration
+	course rolesim.Course
+	begins time.Duration // of the course, by the record's clock
+}
+
+func newForeseen(r *run, seen []RoleSecond) *foreseen {
+	f := &foreseen{r: r, ahead: cmp.Or(r.d.Planner.ChangeTime, 10*time.Second), begins: r.rec.Now()}
+	engines := seen[0].Readers + seen[0].Writers + seen[0].Both + seen[0].Changing
+	seconds := int(seen[len(seen)-1].At-seen[0].At) + 1
+	reading, writing, n := make([]float64, seconds), make([]float64, seconds), make([]float64, seconds)
+	for _, s := range seen {
+		t := min(max(int(s.At-seen[0].At), 0), seconds-1)
+		reading[t], writing[t], n[t] = reading[t]+s.Reading, writing[t]+s.Writing, n[t]+1
+	}
+	for t := 1; t < seconds; t++ { // while the planner was stopped nothing was seen
+		if n[t] == 0 {
+			reading[t], writing[t], n[t] = reading[t-1], writing[t-1], n[t-1]
+		}
+	}
+	f.course = rolesim.Cheapest(engines, seconds, f.ahead.Seconds(), func(t int) (float64, float64) {
+		k := math.Max(n[t], 1)
+		return reading[t] / k, writing[t] / k
+	})
+	r.logf("readers by the foreseen course: %d at the start, %d at the end", f.course[0], f.course[seconds-1])
+	return f
+}
+
+// Step implements planner.Policy.
+func (f *foreseen) Step(_ time.Duration, engines []roles.Engine, _ []roles.Front) roles.Plan {
+	return f.course.Step(f.r.rec.Now()-f.begins+f.ahead, engines)
+}
+
 func newPlanners(r *run) *planners { return &planners{r: r} }
 
 func (p *planners) start() {
@@ -104,10 +140,13 @@
 	}
 	for i := range max(p.r.d.Planner.Count, 1) {
 		run := &planner.Runner{Register: planner.Client{URL: p.r.reg.URL(), HTTP: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}},
-			Settings: p.r.d.Planner.settings(), Fronts: fronts, Every: p.r.d.Planner.Every, Log: log}
+			Settings: p.r.d.Planner.Settings(), Fronts: fronts, Every: p.r.d.Planner.Every, Log: log}
 		if i == 0 {
 			run.Planned = p.note
 		}
+		if seen := p.r.o.Foreseen; len(seen) > 0 {
+			run.Policy = newForeseen(p.r, seen)
+		}
 		p.wg.Add(1)
 		go func() {
 			defer p.wg.Done()
@@ -147,3 +186,16 @@
 		p.r.logf("role: %s to %v (%s)", c.ID, c.To, c.Why)
 	}
 }
+
+// force is an operator who forces an engine into the other role, whatever the planner thinks.
+func (r *run) force(name string) {
+	c := planner.Client{URL: r.reg.URL(), HTTP: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
+	b, err := c.Update(context.Background(), func(b roles.Book) (roles.Book, error) {
+		to := roles.Reader
+		if b.Entries[name].Role == roles.Reader {
+			to = roles.Writer
+		}
+		return b.Begin(name, to, "forced by the day")
+	})
+	r.logf("%s forced to %v: %v", name, b.Entries[name].To, err)
+}
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -1,8 +1,10 @@
+// Package day plays scripted days (internal/lab/scene) on sockets: a register and engines (stand-ins in this process),
+// fronts (processes of their own), clients, and what goes wrong. What passed on the sockets is recorded and judged by
+// internal/audit; no front is asked.
 package day
 
 import (
 	"context"
-	"encoding/xml"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -16,9 +18,9 @@
 	"time"
 
 	"brackenbend/internal/audit"
+	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/standin/engine"
 	"brackenbend/internal/standin/loopback"
-	"brackenbend/internal/standin/model"
 	"brackenbend/internal/standin/register"
 )
 
@@ -28,11 +30,14 @@
 	Env    []string  // beside this process' environment
 	Dir    string    // for settings, lists and logs of the fronts
 	Log    io.Writer // what happens, line by line; nil = nothing
+	// Foreseen is the work of an earlier run of the day: roles then follow the cheapest course for it, each change begun as
+	// long ahead as it takes, in place of the planner's.
+	Foreseen []RoleSecond
 }
 
 // run is a day under way.
 type run struct {
-	d       *Day
+	d       *scene.Day
 	o       Options
 	rec     *audit.Record
 	reg     *register.Server
@@ -41,20 +46,13 @@
 	kindOf  map[*engine.Server]string
 	rnd     *rand.Rand // the script's; clients have their own
 
-	mu        sync.Mutex
-	listed    map[string]bool // engines that the register may list
-	draining  map[string]bool
-	surge     float64
-	longPart  float64
-	longBy    float64
-	longClass string
-	hot       float64
-	hangUps   float64
-	slow      float64
-	deaths    []string               // fronts that ended by themselves
-	faulty    map[*engine.Server]int // faults set, so that overlapping ones end in order
-	mix       map[string]float64     // times the shares of classes
-	planners  *planners              // nil where roles stay
+	mu       sync.Mutex
+	listed   map[string]bool // engines that the register may list
+	draining map[string]bool
+	mood     scene.Mood
+	deaths   []string               // fronts that ended by themselves
+	faulty   map[*engine.Server]int // faults set, so that overlapping ones end in order
+	planners *planners              // nil where roles stay
 }
 
 // process is a front's process.
@@ -67,9 +65,9 @@
 }
 
 // Run plays a day and judges it.
-func Run(ctx context.Context, d *Day, o Options) (*Report, error) {
+func Run(ctx context.Context, d *scene.Day, o Options) (*Report, error) {
 	r := &run{d: d, o: o, rec: audit.NewRecord(), rnd: rand.New(rand.NewPCG(uint64(d.Seed), 1)), kindOf: map[*engine.Server]string{},
-		listed: map[string]bool{}, draining: map[string]bool{}, surge: 1, faulty: map[*engine.Server]int{}, mix: map[string]float64{}}
+		listed: map[string]bool{}, draining: map[string]bool{}, mood: scene.Calm(), faulty: map[*engine.Server]int{}}
 	defer r.close()
 	if err := r.start(); err != nil {
 		return nil, err
@@ -140,7 +138,7 @@
 	for _, k := range r.d.Kinds {
 		for i := range k.Count {
 			cfg := engine.Config{Name: fmt.Sprintf("%s-%d", k.Name, i+1), Kind: k.Name, Zone: "zone-1", Cell: fmt.Sprintf("cell-%d", i%2),
-				Params: r.params(&k), Plain: r.d.Dialect == "vllm", CancelStops: r.d.Service.CancelStops, Group: group, Record: r.rec, Changed: r.listEngine}
+				Params: r.d.Params(&k), Plain: r.d.Dialect == "vllm", CancelStops: r.d.Service.CancelStops, Group: group, Record: r.rec, Changed: r.listEngine}
 			if k.Shifts {
 				shift.join(&cfg, k.Role)
 			}
@@ -172,14 +170,6 @@
 	return nil
 }
 
-func (r *run) params(k *Kind) model.Params {
-	s := r.d.Service
-	return model.Params{Reads: k.Role != "writer" || s.WritersRead, Writes: k.Role != "reader", Slots: k.Slots, Queue: k.Queue,
-		Memory: float64(k.Memory), ReadRate: max(float64(k.ReadRate), 1), Chunk: 512, Step: k.Step, StepStream: k.PerStream,
-		FetchRate: max(float64(k.FetchRate), 1), Kept: float64(k.Memory) / 2, ColdFrom: s.ColdFrom, ColdFor: s.ColdFor,
-		Overload: s.Overload, TipAfter: s.TipAfter, StateLife: 30 * time.Second}
-}
-
 // listEngine tells the register what runs; it is called when an engine's process starts or ends.
 func (r *run) listEngine(s *engine.Server) {
 	in := s.Info()
@@ -210,48 +200,7 @@
 			return nil, err
 		}
 	}
-	return p, os.WriteFile(p.file, []byte(r.settings(p, i)), 0o644)
-}
-
-func esc(s string) string {
-	var b strings.Builder
-	_ = xml.EscapeText(&b, []byte(s))
-	return b.String()
-}
-
-func (r *run) settings(p *process, i int) string {
-	var b strings.Builder
-	s := r.d.Service
-	fmt.Fprintf(&b, "<brackenbend>\n  <front name=%q listen=%q seed=\"%d\" drain=\"10s\" answer-margin=\"150ms\" admin=%q/>\n", p.name, p.addr, r.d.Seed*1000+i+1, p.admin)
-	b.WriteString("  <limits open-requests=\"4096\" stall-time=\"5s\"/>\n  <log level=\"info\" lines-per-second=\"1000\"/>\n")
-	fmt.Fprintf(&b, "  <service fronts=\"%d\" max-attempts=\"%d\" max-wait=\"1s\" release-within=%q drain-grace=%q cold-from=\"%v\" cold-for=%q overload-factor=\"%v\" tip-after=%q writers-read=\"%v\" cancel=\"%v\"",
-		r.d.Fronts, s.MaxAttempts, s.Release, s.DrainGrace, s.ColdFrom, s.ColdFor, s.Overload, s.TipAfter, s.WritersRead, s.CancelStops)
-	fmt.Fprintf(&b, " default-class=%q", esc(r.d.Classes[0].Name))
-	if len(r.d.Tenants) > 0 {
-		fmt.Fprintf(&b, " default-tenant=%q", esc(r.d.Tenants[0].Name))
-	}
-	b.WriteString("/>\n")
-	for _, c := range r.d.Classes {
-		fmt.Fprintf(&b, "  <class name=%q effect=%q aim=%q aim-per-1000-tokens=%q deadline=%q worth=\"%v\" late-worth=\"%v\"", esc(c.Name), c.Effect, c.Aim, c.AimPer1000, c.Deadline, c.Worth, c.LateWorth)
-		if c.Window > 0 {
-			fmt.Fprintf(&b, " window=%q", c.Window)
-		}
-		b.WriteString("/>\n")
-		fmt.Fprintf(&b, "  <rule when=\"header\" name=\"X-Class\" equals=%q class=%q/>\n", esc(c.Name), esc(c.Name))
-	}
-	for _, t := range r.d.Tenants {
-		fmt.Fprintf(&b, "  <tenant name=%q quota=\"%v/s\" share=\"%v\"/>\n  <rule when=\"header\" name=\"X-Tenant\" equals=%q tenant=%q/>\n", esc(t.Name), float64(t.Quota), t.Share, esc(t.Name), esc(t.Name))
-	}
-	for _, k := range r.d.Kinds {
-		fmt.Fprintf(&b, "  <kind name=%q role=%q memory=\"%vtokens\"/>\n", esc(k.Name), k.Role, float64(k.Memory))
-		if k.Shifts && k.Role == "writer" {
-			fmt.Fprintf(&b, "  <kind name=%q role=\"mixed\" memory=\"%vtokens\"/>\n", kindBoth, float64(k.Memory))
-		}
-	}
-	b.WriteString("  <model name=\"day\" bytes-per-token=\"4\" max-output=\"512tokens\"/>\n  <session from=\"header\" name=\"X-Session-Id\"/>\n  <prefix from=\"system-messages\"/>\n")
-	fmt.Fprintf(&b, "  <engines dialect=%q dial-time=\"500ms\"/>\n", r.d.Dialect)
-	fmt.Fprintf(&b, "  <register url=%q namespace=\"default\" label-selector=\"app=engines\" cache=%q/>\n</brackenbend>\n", r.reg.URL(), esc(filepath.Join(r.o.Dir, p.name+".list.json")))
-	return b.String()
+	return p, os.WriteFile(p.file, []byte(r.d.FrontXML(i, p.name, p.addr, p.admin, r.reg.URL(), filepath.Join(r.o.Dir, p.name+".list.json"))), 0o644)
 }
 
 // launch starts a front's process; its log goes to a file beside its settings.
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -3,12 +3,12 @@
 import (
 	"cmp"
 	"context"
-	"math"
 	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/standin/engine"
 )
 
@@ -17,7 +17,7 @@
 	var wg sync.WaitGroup
 	defer wg.Wait()
 	hs := slices.Clone(r.d.Happens)
-	slices.SortStableFunc(hs, func(a, b Happening) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(hs, func(a, b scene.Happening) int { return cmp.Compare(a.At, b.At) })
 	for _, h := range hs {
 		if !sleepUntil(ctx, began.Add(h.At)) {
 			return
@@ -45,12 +45,9 @@
 	}
 }
 
-// partOfRequests are the happenings whose part is of an engine's requests; that of others is of engines.
-var partOfRequests = []string{"fail-fast", "reset-mid-stream", "reset-after-request", "reset-after-effect", "fail-after-effect", "stall-after-effect"}
-
 // pick draws engines for a happening; those that a draw of an earlier one still holds are left out, so that
 // the fleet does not lose more than the script says.
-func (r *run) pick(h *Happening) []*engine.Server {
+func (r *run) pick(h *scene.Happening) []*engine.Server {
 	var all []*engine.Server
 	for _, s := range r.engines {
 		r.mu.Lock()
@@ -60,16 +57,11 @@
 			all = append(all, s)
 		}
 	}
-	n := max(h.Count, 1)
-	if h.Count == 0 && h.Part > 0 && !slices.Contains(partOfRequests, h.What) {
-		n = int(math.Ceil(h.Part * float64(len(all))))
-	}
-	r.rnd.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	return all[:min(n, len(all))]
+	return scene.Draw(h, r.rnd, all)
 }
 
 // begin starts a happening and returns what ends it, nil when it needs no end.
-func (r *run) begin(h *Happening) (undo func()) {
+func (r *run) begin(h *scene.Happening) (undo func()) {
 	switch h.What {
 	case "front-kill":
 		return r.frontsDown(h, syscall.SIGKILL)
@@ -94,14 +86,14 @@
 		r.logf("planners stop for %v", h.For)
 		r.planners.stop()
 		return r.planners.start
-	case "mix":
-		r.logf("mix: %s times %v for %v", h.Class, h.Factor, h.For)
-		set := func(v float64) { r.mu.Lock(); r.mix[h.Class] = v; r.mu.Unlock() }
-		set(cmp.Or(h.Factor, 1))
-		return func() { set(1) }
-	case "surge", "overlong", "hot-prefix", "hang-ups", "slow-readers":
-		r.logf("%s for %v", h.What, h.For)
-		return r.traffic(h)
+	case "role-force":
+		for _, s := range r.pick(h) {
+			r.force(s.Info().Name)
+		}
+		return nil
+	}
+	if undo := r.change(h); undo != nil {
+		return undo
 	}
 	picked := r.pick(h)
 	var names []string
@@ -132,7 +124,7 @@
 	r.mu.Unlock()
 }
 
-func (r *run) engineFault(h *Happening, s *engine.Server) func() {
+func (r *run) engineFault(h *scene.Happening, s *engine.Server) func() {
 	name := s.Info().Name
 	set := func(f engine.Faults) func() {
 		s.SetFaults(f)
@@ -204,7 +196,7 @@
 }
 
 // flap lets the register take an engine off and on again every 300 ms.
-func (r *run) flap(h *Happening, s *engine.Server) func() {
+func (r *run) flap(h *scene.Happening, s *engine.Server) func() {
 	stop, done := make(chan struct{}), make(chan struct{})
 	name := s.Info().Name
 	go func() {
@@ -222,7 +214,7 @@
 	return func() { close(stop); <-done }
 }
 
-func (r *run) frontsDown(h *Happening, sig syscall.Signal) func() {
+func (r *run) frontsDown(h *scene.Happening, sig syscall.Signal) func() {
 	var down []*process
 	for _, i := range r.rnd.Perm(len(r.fronts)) {
 		p := r.fronts[i]
@@ -249,23 +241,18 @@
 	}
 }
 
-// traffic changes what clients do.
-func (r *run) traffic(h *Happening) func() {
-	set := func(f func()) { r.mu.Lock(); f(); r.mu.Unlock() }
-	switch h.What {
-	case "surge":
-		set(func() { r.surge = cmp.Or(h.Factor, 2) })
-		return func() { set(func() { r.surge = 1 }) }
-	case "overlong":
-		set(func() { r.longPart, r.longBy, r.longClass = cmp.Or(h.Part, 0.02), cmp.Or(h.Factor, 10), h.Class })
-		return func() { set(func() { r.longPart = 0 }) }
-	case "hot-prefix":
-		set(func() { r.hot = cmp.Or(h.Part, 0.2) })
-		return func() { set(func() { r.hot = 0 }) }
-	case "hang-ups":
-		set(func() { r.hangUps = cmp.Or(h.Part, 0.1) })
-		return func() { set(func() { r.hangUps = 0 }) }
+// change changes what clients do; nil where the happening is another's.
+func (r *run) change(h *scene.Happening) func() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	undo := r.mood.Change(h)
+	if undo == nil {
+		return nil
+	}
+	r.logf("%s for %v", h.What, h.For)
+	return func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		undo(&r.mood)
 	}
-	set(func() { r.slow = cmp.Or(h.Part, 0.1) })
-	return func() { set(func() { r.slow = 0 }) }
 }
--- /dev/null
+++ b/internal/lab/chart/chart.go
@@ -0,0 +1,88 @@
+// Package chart draws lines over time for reports. It owns how charts look, nothing of what they show.
+package chart
+
+import (
+	"image/color"
+	"math"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+// Line is one course; NaN leaves a gap.
+type Line struct {
+	Name string
+	X, Y []float64
+}
+
+var colours = []color.Color{color.RGBA{0x88, 0x88, 0x88, 0xff}, color.RGBA{0xc0, 0x39, 0x2b, 0xff}, color.RGBA{0x27, 0x6f, 0xbf, 0xff},
+	color.RGBA{0x2e, 0x8b, 0x57, 0xff}, color.RGBA{0x8e, 0x44, 0xad, 0xff}, color.RGBA{0xd3, 0x84, 0x00, 0xff}}
+
+// Save draws lines into a file whose ending names the format (svg, png, pdf).
+func Save(path, title, x, y string, lines ...Line) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, l := range lines {
+		colour := colours[i%len(colours)]
+		named := false
+		for _, pts := range pieces(l) {
+			line, err := plotter.NewLine(pts)
+			if err != nil {
+				return err
+			}
+			line.Color = colour
+			p.Add(line)
+			if !named {
+				p.Legend.Add(l.Name, line)
+				named = true
+			}
+		}
+	}
+	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, path)
+}
+
+// pieces cuts a line at its gaps.
+func pieces(l Line) (out []plotter.XYs) {
+	var at plotter.XYs
+	for i, v := range l.Y {
+		if math.IsNaN(v) || math.IsInf(v, 0) {
+			if len(at) > 0 {
+				out = append(out, at)
+			}
+			at = nil
+			continue
+		}
+		at = append(at, plotter.XY{X: l.X[i], Y: v})
+	}
+	if len(at) > 0 {
+		out = append(out, at)
+	}
+	return out
+}
+
+// Seconds gives 0, 1, 2 ... as x.
+func Seconds(n int) []float64 {
+	out := make([]float64, n)
+	for i := range out {
+		out[i] = float64(i)
+	}
+	return out
+}
+
+// Smooth is the mean over so many neighbours on either side; gaps are passed over.
+func Smooth(v []float64, by int) []float64 {
+	out := make([]float64, len(v))
+	for i := range v {
+		sum, n := 0.0, 0.0
+		for j := max(0, i-by); j <= min(len(v)-1, i+by); j++ {
+			if !math.IsNaN(v[j]) {
+				sum, n = sum+v[j], n+1
+			}
+		}
+		out[i] = sum / n // NaN where there is none
+	}
+	return out
+}
--- a/internal/lab/rolesim/compare.go
+++ b/internal/lab/rolesim/compare.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"image/color"
 	"io"
 	"math"
 	"path/filepath"
@@ -11,10 +10,7 @@
 	"text/tabwriter"
 	"time"
 
-	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/vg"
-
+	"brackenbend/internal/lab/chart"
 	"brackenbend/roles"
 )
 
@@ -135,49 +131,24 @@
 
 // Plot draws the readers wanted, and what was lost, over time; one SVG for each row into dir.
 func Plot(dir string, rows []Row) error {
-	colours := []color.Color{color.RGBA{0x88, 0x88, 0x88, 0xff}, color.RGBA{0xc0, 0x39, 0x2b, 0xff}, color.RGBA{0x27, 0x6f, 0xbf, 0xff}}
 	for i := range rows {
 		r := &rows[i]
-		for what, values := range map[string]func(*Result) []float64{"readers": readers, "lost": lost} {
-			p := plot.New()
-			p.Title.Text, p.X.Label.Text, p.Y.Label.Text = r.Scenario, "seconds", map[string]string{"readers": "readers", "lost": "part lost, mean of 5 s"}[what]
-			for j, res := range []*Result{r.LastBest, r.LastPlanned, r.LastSeing} {
-				var pts plotter.XYs
-				for x, y := range values(res) {
-					pts = append(pts, plotter.XY{X: float64(x), Y: y})
-				}
-				line, err := plotter.NewLine(pts)
-				if err != nil {
-					return err
-				}
-				line.Color = colours[j]
-				p.Add(line)
-				p.Legend.Add([]string{"best fixed", "planned", "seeing"}[j], line)
-			}
-			p.Legend.Top = true
-			name := strings.ReplaceAll(r.Scenario, " ", "-") + "-" + what + ".svg"
-			if err := p.Save(18*vg.Centimeter, 9*vg.Centimeter, filepath.Join(dir, name)); err != nil {
-				return err
+		var readers, lost []chart.Line
+		for j, res := range []*Result{r.LastBest, r.LastPlanned, r.LastSeing} {
+			name, n := []string{"best fixed", "planned", "seeing"}[j], make([]float64, len(res.Readers))
+			for k, v := range res.Readers {
+				n[k] = float64(v)
 			}
+			readers = append(readers, chart.Line{Name: name, X: chart.Seconds(len(n)), Y: n})
+			lost = append(lost, chart.Line{Name: name, X: chart.Seconds(len(res.Lost)), Y: chart.Smooth(res.Lost, 2)})
 		}
-	}
-	return nil
-}
-
-func readers(r *Result) (out []float64) {
-	for _, n := range r.Readers {
-		out = append(out, float64(n))
-	}
-	return out
-}
-
-func lost(r *Result) (out []float64) {
-	for i := range r.Lost {
-		sum, n := 0.0, 0.0
-		for j := max(0, i-2); j <= min(len(r.Lost)-1, i+2); j++ {
-			sum, n = sum+r.Lost[j], n+1
+		base := filepath.Join(dir, strings.ReplaceAll(r.Scenario, " ", "-"))
+		if err := chart.Save(base+"-readers.svg", r.Scenario, "seconds", "readers", readers...); err != nil {
+			return err
+		}
+		if err := chart.Save(base+"-lost.svg", r.Scenario, "seconds", "part lost, mean of 5 s", lost...); err != nil {
+			return err
 		}
-		out = append(out, sum/n)
 	}
-	return out
+	return nil
 }
--- a/internal/lab/rolesim/policy.go
+++ b/internal/lab/rolesim/policy.go
@@ -20,21 +20,42 @@
 type Planned struct {
 	Readers  int
 	Settings roles.Settings
+	Restart  time.Duration // it is started anew so often; 0 = never
+	Forgets  bool          // then, what it had learned, rather than to go on from it
 	p        *roles.Planner
 	Last     roles.Plan
 }
 
 // Start implements Policy.
 func (p *Planned) Start(*Scenario) int {
-	var err error
-	if p.p, err = roles.New(p.Settings); err != nil {
+	p.p = p.fresh()
+	return p.Readers
+}
+
+func (p *Planned) fresh() *roles.Planner {
+	n, err := roles.New(p.Settings)
+	if err != nil {
 		panic(err) // settings of a comparison are the program's own
 	}
-	return p.Readers
+	return n
+}
+
+// restart is a planner that ends and another that begins at once.
+func (p *Planned) restart(now time.Duration) {
+	next := p.fresh()
+	if m, ok := p.p.Memory(); ok && !p.Forgets {
+		if err := next.Recall(m, 0, now); err != nil {
+			panic(err) // a planner's own memory is taken by its like
+		}
+	}
+	p.p = next
 }
 
 // Step implements Policy.
 func (p *Planned) Step(now time.Duration, engines []roles.Engine, fronts []roles.Front) roles.Plan {
+	if p.Restart > 0 && now%p.Restart == 0 {
+		p.restart(now)
+	}
 	p.Last = p.p.Step(now, engines, fronts)
 	return p.Last
 }
@@ -44,7 +65,7 @@
 type Seeing struct {
 	Ahead  time.Duration // how long a change takes; 0 = 8 s
 	Price  float64       // of a change; 0 = 10 engine seconds
-	course []int
+	course Course
 }
 
 // Start implements Policy.
@@ -55,13 +76,26 @@
 	if p.Price == 0 {
 		p.Price = 10
 	}
-	p.course = cheapest(s, p.Price)
+	n := float64(s.Engines)
+	p.course = Cheapest(s.Engines, int(s.Length.Seconds())+1, p.Price, func(t int) (float64, float64) {
+		a, b := s.Asked(time.Duration(t) * time.Second)
+		return a * n, b * n
+	})
 	return p.course[0]
 }
 
-// cheapest finds the course with the least sum of stage cost and price of changes, by dynamic programming.
-func cheapest(s *Scenario, price float64) []int {
-	n, seconds := s.Engines-1, int(s.Length.Seconds())+1 // states are 1 to n readers
+// Step implements Policy.
+func (p *Seeing) Step(now time.Duration, engines []roles.Engine, _ []roles.Front) roles.Plan {
+	return p.course.Step(now+p.Ahead, engines)
+}
+
+// Course is how many readers are wanted in each second.
+type Course []int
+
+// Cheapest finds the course with the least sum of stage cost and price of changes (each in engine seconds), by dynamic
+// programming, where asked tells the work of a second in engines.
+func Cheapest(engines, seconds int, price float64, asked func(t int) (reading, writing float64)) Course {
+	n := engines - 1 // states are 1 to n readers
 	cost := make([]float64, n)
 	from := make([][]int32, seconds)
 	for t := range from {
@@ -81,9 +115,9 @@
 				}
 			}
 		}
-		a, b := s.Asked(time.Duration(t) * time.Second)
+		a, b := asked(t)
 		for i := range cost {
-			cost[i] += roles.Cost(a*float64(s.Engines), b*float64(s.Engines), i+1, s.Engines-i-1)
+			cost[i] += roles.Cost(a, b, i+1, engines-i-1)
 		}
 	}
 	best := 0
@@ -92,7 +126,7 @@
 			best = i
 		}
 	}
-	course := make([]int, seconds)
+	course := make(Course, seconds)
 	for t := seconds - 1; t >= 0; t-- {
 		course[t] = best + 1
 		best = int(from[t][best])
@@ -100,10 +134,9 @@
 	return course
 }
 
-// Step implements Policy.
-func (p *Seeing) Step(now time.Duration, engines []roles.Engine, fronts []roles.Front) roles.Plan {
-	t := min(int(math.Ceil((now + p.Ahead).Seconds())), len(p.course)-1)
-	want := p.course[t]
+// Step moves engines to what the course wants at a time.
+func (c Course) Step(at time.Duration, engines []roles.Engine) roles.Plan {
+	want := c[min(max(int(math.Ceil(at.Seconds())), 0), len(c)-1)]
 	for _, e := range engines {
 		if e.To == roles.Reader {
 			want--
--- a/internal/lab/rolesim/sim.go
+++ b/internal/lab/rolesim/sim.go
@@ -105,6 +105,7 @@
 	write    float64
 	seen     float64 // totals hold up to here
 	lateTo   []roles.Report
+	pos      [2]int // in the pools of the stages
 }
 
 type eventKind uint8
@@ -166,6 +167,7 @@
 	rnd     *rand.Rand
 	heap    events
 	engines []*engine
+	pools   [2]pool // reading, writing
 	reads   queue
 	writes  queue
 	res     *Result
@@ -187,6 +189,7 @@
 		}
 		e.to = e.role
 		x.engines = append(x.engines, e)
+		x.in(e)
 	}
 	for i, d := range s.Deaths {
 		heap.Push(&x.heap, event{at: d.At.Seconds(), kind: dies, n: i})
@@ -287,8 +290,7 @@
 			break
 		}
 		q := x.reads.pop(readWork)
-		x.count(e)
-		e.n++
+		x.take(e, 1)
 		heap.Push(&x.heap, event{at: x.now + q.read/x.present(e), kind: readDone, e: e, gen: e.gen, q: q})
 	}
 	for x.writes.len() > 0 {
@@ -301,8 +303,7 @@
 			break
 		}
 		q := x.writes.pop(writeWork)
-		x.count(e)
-		e.n++
+		x.take(e, 1)
 		x.res.Served++
 		heap.Push(&x.heap, event{at: x.now + q.write/math.Sqrt(x.present(e)), kind: writeDone, e: e, gen: e.gen, q: q})
 	}
@@ -311,26 +312,6 @@
 func readWork(q request) float64  { return q.read }
 func writeWork(q request) float64 { return q.write }
 
-// free is the engine of a role with the most room, nil where none has any.
-func (x *sim) free(role roles.Role) *engine {
-	var best *engine
-	for _, e := range x.engines {
-		if e.state != up || e.role != role && e.role != roles.Both {
-			continue
-		}
-		room := 1.0
-		if role == roles.Writer {
-			room = math.Floor(float64(x.s.Slots) * x.present(e))
-		}
-		if float64(e.n) < room && (best == nil || e.n < best.n) {
-			if best = e; e.n == 0 {
-				return e
-			}
-		}
-	}
-	return best
-}
-
 func (x *sim) event(ev event) {
 	e := ev.e
 	if ev.kind == dies {
@@ -344,17 +325,20 @@
 		}
 		return
 	}
-	x.count(e)
 	switch ev.kind {
 	case readDone:
-		e.n--
+		x.take(e, -1)
 		x.writes.push(ev.q, ev.q.write)
 	case writeDone:
-		e.n--
+		x.take(e, -1)
 	case switched:
+		x.count(e)
 		e.role, e.state, e.start, e.changed = e.to, up, x.now, x.now
+		x.in(e)
 	case back:
+		x.count(e)
 		e.state, e.start = up, x.now
+		x.in(e)
 	}
 	x.drained(e)
 	x.start()
@@ -377,6 +361,7 @@
 	}
 	for _, e := range have[:int(math.Round(d.Part*float64(len(have))))] {
 		x.count(e)
+		x.out(e)
 		e.gen++
 		e.n, e.state, e.to = 0, down, e.role
 		heap.Push(&x.heap, event{at: x.now + d.For.Seconds(), kind: back, e: e, gen: e.gen})
@@ -429,6 +414,7 @@
 	for _, id := range plan.CallOff {
 		if e := byID[id]; e.state == drains {
 			e.state, e.to, e.changed = up, e.role, x.now
+			x.in(e)
 		}
 	}
 	for _, c := range plan.Changes {
@@ -442,6 +428,7 @@
 				x.res.Shortest = gap
 			}
 		}
+		x.out(e)
 		e.to, e.state = c.To, drains
 		x.drained(e)
 	}
--- a/internal/day/day.go
+++ b/internal/lab/scene/scene.go
@@ -1,7 +1,7 @@
-// Package day plays scripted days on sockets: a register and engines (stand-ins in this process), fronts (processes
-// of their own), clients, and a list of things that go wrong. What passed on the sockets is recorded and judged by
-// internal/audit; no front is asked.
-package day
+// Package scene is what a scripted day says: the fleet, its clients, and the list of things that go wrong. It reads and
+// checks day files, makes fronts' settings of them, draws what clients do and scores what comes of it. It plays nothing:
+// internal/day plays it on sockets, internal/lab/fleet in simulated time, both with the same draws.
+package scene
 
 import (
 	"cmp"
@@ -61,7 +61,8 @@
 	Switch     time.Duration `cfg:"switch"` // of an empty engine; 0 = 1 s
 }
 
-func (p *Planner) settings() roles.Settings {
+// Settings are the planner's.
+func (p *Planner) Settings() roles.Settings {
 	return roles.Settings{MinStay: p.MinStay, AtOnce: p.AtOnce, ChangeTime: p.ChangeTime, Warm: p.Warm, TurnTime: p.TurnTime}
 }
 
@@ -114,7 +115,7 @@
 	config.Pos
 	At     time.Duration `cfg:"at,required"`
 	For    time.Duration `cfg:"for"`
-	What   string        `cfg:"what,required,enum=front-kill|front-stop|crash|fail-fast|fail-class|stall|slow|refuse-connects|reset-mid-stream|reset-after-request|reset-after-effect|fail-after-effect|stall-after-effect|forget|silent-restart|drain|remove|register-cut|register-late|register-flap|register-compact|register-stale|reports-frozen|reports-none|surge|overlong|hot-prefix|hang-ups|slow-readers|mix|planner-stop|liar"`
+	What   string        `cfg:"what,required,enum=front-kill|front-stop|crash|fail-fast|fail-class|stall|slow|refuse-connects|reset-mid-stream|reset-after-request|reset-after-effect|fail-after-effect|stall-after-effect|forget|silent-restart|drain|remove|register-cut|register-late|register-flap|register-compact|register-stale|reports-frozen|reports-none|surge|overlong|hot-prefix|hang-ups|slow-readers|mix|planner-stop|role-force|liar"`
 	Kind   string        `cfg:"kind"`   // of engines; none = any
 	Class  string        `cfg:"class"`  // for fail-class, overlong and mix
 	Count  int           `cfg:"count"`  // of engines or fronts; 0 = 1
@@ -201,7 +202,7 @@
 		report(d.Planner.Pos, `add shifts="true" to the kinds whose engines may change role`, "a <planner> and no kind that shifts")
 	}
 	if d.Planner != nil {
-		if err := d.Planner.settings().Validate(); err != nil {
+		if err := d.Planner.Settings().Validate(); err != nil {
 			report(d.Planner.Pos, "correct the figure", "%v", err)
 		}
 		if d.Planner.Count < 0 || d.Planner.Count > 8 {
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -24,8 +24,17 @@
 const (
 	Path     = "/v1/brackenbend/role"
 	PathBook = "/v1/brackenbend/roles"
+	// PathMemory is where the register keeps what planners learned (GET and PUT; 404 before the first), so that one that is
+	// started again, or elsewhere, goes on from there. Nothing depends on it: the newest write stands.
+	PathMemory = "/v1/brackenbend/roles/memory"
 )
 
+// Saved is a planner's memory as the register keeps it.
+type Saved struct {
+	At     time.Time    `json:"at"`
+	Memory roles.Memory `json:"memory"`
+}
+
 // Stage is roles.Stage as engines tell it: totals in seconds of the whole engine, and of requests.
 type Stage struct {
 	Done    float64 `json:"done"`
@@ -65,6 +74,8 @@
 	HTTP *http.Client
 }
 
+var errNone = errors.New("the register keeps no such thing")
+
 // maxReply bounds what is read of any answer.
 const maxReply = 16 << 20
 
@@ -93,6 +104,8 @@
 		return err
 	case resp.StatusCode == http.StatusConflict:
 		return roles.ErrStale
+	case resp.StatusCode == http.StatusNotFound:
+		return errNone
 	case resp.StatusCode != http.StatusOK:
 		return fmt.Errorf("%s %s: answered %d: %.200s", method, url, resp.StatusCode, bytes.TrimSpace(text))
 	}
@@ -111,6 +124,21 @@
 	return held, err
 }
 
+// Remember gives what a planner last left; nothing, and no error, where none did.
+func (c *Client) Remember(ctx context.Context) (s Saved, ok bool, err error) {
+	err = c.do(ctx, http.MethodGet, strings.TrimSuffix(c.URL, "/")+PathMemory, nil, &s)
+	if errors.Is(err, errNone) {
+		return Saved{}, false, nil
+	}
+	return s, err == nil, err
+}
+
+// Leave leaves a memory for planners to come.
+func (c *Client) Leave(ctx context.Context, s Saved) error {
+	var held struct{}
+	return c.do(ctx, http.MethodPut, strings.TrimSuffix(c.URL, "/")+PathMemory, s, &held)
+}
+
 // Update reads the book, lets change make another of it and writes that, again from the start where another writer came
 // first, a few times. It is what operators' commands use.
 func (c *Client) Update(ctx context.Context, change func(roles.Book) (roles.Book, error)) (roles.Book, error) {
@@ -130,6 +158,11 @@
 	}
 }
 
+// Policy is what decides: roles.Planner, or in comparisons another.
+type Policy interface {
+	Step(now time.Duration, engines []roles.Engine, fronts []roles.Front) roles.Plan
+}
+
 // Runner is a planner at work.
 type Runner struct {
 	Register Client
@@ -137,7 +170,9 @@
 	Fronts   []string      // admin addresses, host:port, of fronts that are asked what they refused; may be empty
 	Every    time.Duration // between looks; 0 = 1 s
 	AtOnce   int           // engines asked at once; 0 = 32
+	Keep     time.Duration // between two times that what was learned is left at the register; 0 = 30 s
 	Log      *zap.Logger
+	Policy   Policy           // decides in place of roles.Planner, for comparisons; nil = roles.Planner
 	Planned  func(roles.Plan) // after each look; may be nil
 	Metrics  *Metrics         // may be nil
 
@@ -146,6 +181,8 @@
 	places map[string]int
 	words  map[string]Status
 	lost   lostWork
+	kept   time.Time // when memory was last left
+	asked  bool      // for what a planner before this one left
 }
 
 // epoch is the runner's time at its start, so that what happened before it has a time as well.
@@ -167,6 +204,9 @@
 	if r.AtOnce == 0 {
 		r.AtOnce = 32
 	}
+	if r.Keep == 0 {
+		r.Keep = 30 * time.Second
+	}
 	if r.Metrics == nil {
 		r.Metrics = NewMetrics()
 	}
@@ -196,6 +236,9 @@
 	if err != nil {
 		return err
 	}
+	if !r.asked && r.Policy == nil {
+		r.recall(ctx)
+	}
 	at := r.ask(ctx, v)
 	book, settled := v.Book, false
 	for _, id := range book.Names() {
@@ -205,7 +248,11 @@
 			settled = settled || changed
 		}
 	}
-	plan := r.p.Step(r.now(), r.engines(v, at), r.askFronts(ctx))
+	policy := r.Policy
+	if policy == nil {
+		policy = r.p
+	}
+	plan := policy.Step(r.now(), r.engines(v, at), r.askFronts(ctx))
 	if r.Planned != nil {
 		r.Planned(plan)
 	}
@@ -234,9 +281,39 @@
 		}
 	}
 	r.tell(ctx, v, book)
+	r.leave(ctx)
 	return nil
 }
 
+// recall takes what a planner before this one left. Without it the planner learns anew, which is safe and slower.
+func (r *Runner) recall(ctx context.Context) {
+	r.asked, r.kept = true, time.Now()
+	s, ok, err := r.Register.Remember(ctx)
+	if err == nil && ok {
+		err = r.p.Recall(s.Memory, time.Since(s.At), r.now())
+	}
+	switch {
+	case err != nil:
+		r.Log.Warn("what was learned before is not taken over", zap.Error(err))
+	case ok:
+		r.Log.Info("goes on from what was learned before", zap.Time("left", s.At))
+	}
+}
+
+func (r *Runner) leave(ctx context.Context) {
+	if r.Policy != nil || time.Since(r.kept) < r.Keep {
+		return
+	}
+	r.kept = time.Now()
+	m, ok := r.p.Memory()
+	if !ok {
+		return
+	}
+	if err := r.Register.Leave(ctx, Saved{time.Now(), m}); err != nil {
+		r.Log.Info("what was learned could not be left at the register", zap.Error(err))
+	}
+}
+
 // wall is the wall clock as the book keeps it.
 func wall() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
--- a/internal/planner/planner_test.go
+++ b/internal/planner/planner_test.go
@@ -85,7 +85,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	f.metrics = planner.NewMetrics()
-	r := &planner.Runner{Metrics: f.metrics, Register: f.client, Settings: s, Every: 10 * time.Millisecond, Log: zap.NewNop()}
+	r := &planner.Runner{Metrics: f.metrics, Register: f.client, Settings: s, Every: 10 * time.Millisecond, Keep: 20 * time.Millisecond, Log: zap.NewNop()}
 	go func() {
 		defer close(done)
 		if err := r.Run(ctx); err != nil {
@@ -267,3 +267,52 @@
 	f.reg.Cut(false)
 	f.eventually("settled", f.is("e0", roles.Writer))
 }
+
+// TestWhatWasLearnedOutlivesThePlanner, and the register that keeps it; what can't be right is passed over.
+func TestWhatWasLearnedOutlivesThePlanner(t *testing.T) {
+	book := filepath.Join(t.TempDir(), "book.json")
+	f := newFleet(t, roles.Reader, roles.Writer)
+	if err := f.reg.KeepBook(book); err != nil {
+		t.Fatal(err)
+	}
+	left := func(after time.Time) (s planner.Saved) {
+		f.eventually("a memory is left", func(roles.Book) bool {
+			var ok bool
+			var err error
+			s, ok, err = f.client.Remember(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			return ok && s.At.After(after) && len(s.Memory.Experts) > 0
+		})
+		return s
+	}
+	if _, ok, err := f.client.Remember(t.Context()); ok || err != nil {
+		t.Fatalf("%v %v before there was a planner", ok, err)
+	}
+	kill := f.run(quiet)
+	left(time.Time{})
+	kill()
+	f.reg.Close()
+	f.register(book)
+	for id, e := range f.engines {
+		f.reg.Shift(id, e.Seat().Role, kinds)
+		f.list(e)
+	}
+	oldest := func(s planner.Saved) time.Duration { return s.Memory.Experts[0].Past[0].Age }
+	began := time.Now()
+	kill = f.run(quiet)
+	s := left(began)
+	if oldest(s) <= s.At.Sub(began) {
+		t.Errorf("the second planner knows nothing of the time before it: oldest %v, it began %v before", oldest(s), s.At.Sub(began))
+	}
+	kill()
+	if err := f.client.Leave(t.Context(), planner.Saved{At: time.Now(), Memory: roles.Memory{Lead: 99}}); err != nil {
+		t.Fatal(err)
+	}
+	began = time.Now()
+	f.run(quiet)
+	if s := left(began); oldest(s) > s.At.Sub(began) {
+		t.Errorf("a third planner, with a memory that can't be, knows of a time before it: %v", oldest(s))
+	}
+}
--- a/internal/standin/register/book.go
+++ b/internal/standin/register/book.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"time"
@@ -32,6 +33,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.bookFile = path
+	if text, err := os.ReadFile(path + ".memory"); err == nil && json.Valid(text) { // a planner can do without
+		s.memory = text
+	}
 	text, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
@@ -82,6 +86,41 @@
 	return disk.Replace(path, text)
 }
 
+// maxMemory bounds what planners leave.
+const maxMemory = 4 << 20
+
+// serveMemory keeps what planners learned, as it came; the newest stands.
+func (s *Server) serveMemory(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut {
+		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+		return
+	}
+	if r.Method == http.MethodPut {
+		text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxMemory))
+		if err != nil || !json.Valid(text) {
+			status(w, http.StatusBadRequest, "BadRequest", "the body is no JSON, or too long")
+			return
+		}
+		s.memory = text
+		if s.bookFile != "" {
+			if err := disk.Replace(s.bookFile+".memory", text); err != nil {
+				status(w, http.StatusInternalServerError, "InternalError", err.Error())
+				return
+			}
+		}
+		fmt.Fprintln(w, "{}")
+		return
+	}
+	if s.memory == nil {
+		status(w, http.StatusNotFound, "NotFound", "no planner left anything")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(s.memory)
+}
+
 func (s *Server) serveBook(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/register/register.go
+++ b/internal/standin/register/register.go
@@ -58,6 +58,7 @@
 	book     roles.Book
 	kinds    map[roles.Role]string
 	bookFile string
+	memory   []byte // what planners left, as JSON
 	watches  map[context.Context]context.CancelFunc
 }
 
@@ -73,6 +74,8 @@
 	mux.HandleFunc("GET /apis/discovery.k8s.io/v1/namespaces/{ns}/endpointslices", s.serve)
 	mux.HandleFunc("GET "+planner.PathBook, s.serveBook)
 	mux.HandleFunc("PUT "+planner.PathBook, s.serveBook)
+	mux.HandleFunc("GET "+planner.PathMemory, s.serveMemory)
+	mux.HandleFunc("PUT "+planner.PathMemory, s.serveMemory)
 	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	return s, nil
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -1,6 +1,7 @@
 package roles
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -414,3 +415,116 @@
 		})
 	}
 }
+
+// TestMemoryOutlivesThePlanner: one that is started again with what was kept goes on as if nothing had been.
+func TestMemoryOutlivesThePlanner(t *testing.T) {
+	swing := func(i int) (float64, float64) { // every 100 s, which no change pays for
+		if i/50%2 == 0 {
+			return 7, 4
+		}
+		return 4, 7
+	}
+	town, orders := newTown(8, 8), 0
+	first, err := New(Settings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, ok := first.Memory(); ok {
+		t.Error("a planner that has seen nothing remembers something")
+	}
+	play := func(p *Planner, from, to int) (leads []int) {
+		for i := from; i < to; i++ {
+			town.work(swing(i))
+			plan := p.Step(town.now, town.engines, nil)
+			orders += len(plan.Changes)
+			town.obey(plan, 8*time.Second)
+			leads = append(leads, p.lead)
+		}
+		return leads
+	}
+	play(first, 0, 3000)
+	m, ok := first.Memory()
+	if !ok {
+		t.Fatal("nothing remembered")
+	}
+	text, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var back Memory
+	if err := json.Unmarshal(text, &back); err != nil {
+		t.Fatal(err)
+	}
+	again, err := New(Settings{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := again.Recall(back, 0, town.now); err != nil {
+		t.Fatal(err)
+	}
+	if got, _ := again.Memory(); !reflect.DeepEqual(got.Experts[0].Past[0].Reading, m.Experts[0].Past[0].Reading) || again.lead != first.lead {
+		t.Errorf("lead %d, was %d", again.lead, first.lead)
+	}
+	orders = 0
+	for _, lead := range play(again, 3000, 4000) {
+		if lead != first.lead {
+			t.Fatalf("the expert that leads changed from %d to %d", first.lead, lead)
+		}
+	}
+	if orders > 0 {
+		t.Errorf("%d changes on a mix that it knew", orders)
+	}
+	if err := again.Recall(back, 0, town.now); err == nil {
+		t.Error("a planner at work took another's memory")
+	}
+}
+
+func TestMemoryThatCantBeIsRefused(t *testing.T) {
+	town := newTown(4, 4)
+	p, _ := New(Settings{})
+	for range 100 {
+		town.work(2, 2)
+		town.obey(p.Step(town.now, town.engines, nil), 8*time.Second)
+	}
+	for name, spoil := range map[string]func(*Memory){
+		"no experts":          func(m *Memory) { m.Experts = nil },
+		"lead":                func(m *Memory) { m.Lead = 99 },
+		"cost":                func(m *Memory) { m.Cost = math.NaN() },
+		"endless cost":        func(m *Memory) { m.Cost = 1e9 },
+		"negative engines":    func(m *Memory) { m.Stood[0] = -1 },
+		"negative readers":    func(m *Memory) { m.Experts[1].Readers = -1 },
+		"loss":                func(m *Memory) { m.Experts[1].Loss = math.Inf(1) },
+		"another's experts":   func(m *Memory) { m.Experts[2].Memory++ },
+		"no past":             func(m *Memory) { m.Experts[0].Past = nil },
+		"a long past":         func(m *Memory) { m.Experts[0].Past = make([]PastMemory, 10000) },
+		"no time":             func(m *Memory) { m.Experts[0].Past[0].Seconds = 0 },
+		"out of order":        func(m *Memory) { m.Experts[0].Past[0].Age = -1 },
+		"an engine for ever":  func(m *Memory) { m.Bars = []BarMemory{{"e", time.Hour, 1000 * time.Hour}} },
+		"too many are barred": func(m *Memory) { m.Bars = make([]BarMemory, maxBars+1) },
+	} {
+		m, ok := p.Memory()
+		if !ok {
+			t.Fatal("nothing remembered")
+		}
+		spoil(&m)
+		fresh, _ := New(Settings{})
+		if err := fresh.Recall(m, 0, town.now); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if fresh.experts[0].started || fresh.lead != 0 || len(fresh.bars) > 0 {
+			t.Errorf("%s: refused, and half taken", name)
+		}
+	}
+	m, _ := p.Memory()
+	fresh, _ := New(Settings{})
+	if err := fresh.Recall(m, -time.Second, town.now); err == nil {
+		t.Error("a memory from the future was taken")
+	}
+	if err := fresh.Recall(m, 24*time.Hour, town.now); err != nil {
+		t.Errorf("a day old: %v", err)
+	}
+	town.work(2, 2)
+	if plan := fresh.Step(town.now, town.engines, nil); len(plan.Changes) > 0 {
+		t.Errorf("%+v", plan)
+	}
+}
