--- a/internal/api/classify.go
+++ b/internal/api/classify.go
@@ -5,9 +5,11 @@
 	"encoding/hex"
 	"encoding/json"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"brackenbend/choice"
 	"brackenbend/internal/http1"
 )
 
@@ -72,6 +74,23 @@
 	Repeat            bool // its client repeats it by itself
 }
 
+// Event is the request as the decision module is told of it; due is by the module's clock.
+func (t *Traits) Event(id choice.RequestID, due time.Duration) choice.Request {
+	return choice.Request{ID: id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix, PromptLen: t.PromptLen,
+		PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: due, Repeat: t.Repeat, Doubtful: t.Repeat}
+}
+
+// Wait is how long a client waits: its class's time, or what it told if that is sooner (0 = it told nothing).
+func Wait(class, told time.Duration) time.Duration {
+	if told > 0 && told < class {
+		return told
+	}
+	return class
+}
+
+// Within is how long a front may take for an answer that must arrive within wait.
+func Within(wait, margin time.Duration) time.Duration { return max(wait-margin, wait/2) }
+
 // Classify reads the traits, or says which part of the request fits no rule.
 func (c *Classifier) Classify(r *Request, h http1.Header) (Traits, *Error) {
 	var t Traits
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -66,6 +66,9 @@
 
 // Run plays a day and judges it.
 func Run(ctx context.Context, d *scene.Day, o Options) (*Report, error) {
+	if err := d.OnSockets(); err != nil {
+		return nil, err
+	}
 	r := &run{d: d, o: o, rec: audit.NewRecord(), rnd: rand.New(rand.NewPCG(uint64(d.Seed), 1)), kindOf: map[*engine.Server]string{},
 		listed: map[string]bool{}, draining: map[string]bool{}, mood: scene.Calm(), faulty: map[*engine.Server]int{}}
 	defer r.close()
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -300,18 +300,15 @@
 	fl := &flight{id: choice.RequestID(n), req: r, traits: t, class: class, to: c, chunks: req.Minor == 1, taken: now,
 		keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{})}
 	told := api.ClientTime(req.Header)
-	wait := class.Deadline
-	if told > 0 && told < wait {
-		wait = told
-	}
+	wait := api.Wait(class.Deadline, told)
 	if bend := f.seam.Wait; bend != nil {
 		wait = bend(wait)
 	}
-	fl.due = now.Add(max(wait-f.set.Front.Margin, wait/2))
+	fl.due = now.Add(api.Within(wait, f.set.Front.Margin))
 	if !r.Stream {
 		fl.whole = api.NewWhole(r.Chat, int(f.set.Limits.Whole))
 		if told > 0 {
-			fl.last = now.Add(max(told-f.set.Front.Margin, told/2))
+			fl.last = now.Add(api.Within(told, f.set.Front.Margin))
 		}
 	}
 	return fl, nil
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -2,12 +2,10 @@
 
 import (
 	"maps"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
@@ -95,10 +93,7 @@
 //
 //go:noinline
 func (l *loop) tell(fl *flight) {
-	t := &fl.traits
-	ev := choice.Request{ID: fl.id, Class: t.Class, Tenant: t.Tenant, Session: t.Session, Prefix: t.Prefix,
-		PromptLen: t.PromptLen, PrefixLen: t.PrefixLen, MaxOut: t.MaxOut, Due: l.now() + time.Until(fl.due),
-		Repeat: t.Repeat, Doubtful: t.Repeat}
+	ev := fl.traits.Event(fl.id, l.now()+time.Until(fl.due))
 	if bend := l.f.seam.Request; bend != nil {
 		bend(&ev)
 	}
@@ -424,15 +419,8 @@
 	return s
 }
 
-// freeID gives the same id to the same name in every front, since prefixes are hashed with it; only where two
-// names of one list collide (about 1 in 16,000 lists of 740) may fronts differ.
 func (l *loop) freeID(name string) choice.ServerID {
-	for i := 0; ; i++ {
-		id := choice.ServerID(xxhash.Sum64String(name + "#" + strconv.Itoa(i)))
-		if l.byID[id] == nil && id != 0 {
-			return id
-		}
-	}
+	return register.ServerID(name, func(id choice.ServerID) bool { return l.byID[id] != nil })
 }
 
 func (l *loop) intern(s string) int {
--- /dev/null
+++ b/internal/lab/fleet/fleet.go
@@ -0,0 +1,170 @@
+// Package fleet plays a scripted day (internal/lab/scene) in simulated time: the fronts' decisions are those of the same
+// choice.Router with the same settings and mappings as the daemon's, engines are the model that the stand-ins run
+// (internal/standin/model), clients draw as those of a day on sockets do, and the five rules are judged by the same judge
+// (internal/audit). It opens no sockets and reads no clock.
+//
+// What differs from sockets: links take the same time whatever they carry, and a front's own work takes none beside it;
+// slow readers, load reports and the register's flapping, compacted and stale answers are left out, and a front that was
+// cut off from the register comes back to it after an even draw up to the time of its longest pause.
+package fleet
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/audit"
+	"brackenbend/internal/config"
+	"brackenbend/internal/lab/scene"
+)
+
+// Decider is what decides for a front: choice.Router, or for comparisons something simpler.
+type Decider interface {
+	Step(now time.Duration, events []choice.Event) []choice.Action
+}
+
+// Options say how a day is played.
+type Options struct {
+	Seed   uint64        // of everything but the clients' draws, which are the day's
+	Link   time.Duration // from one party to another; 0 = 250 us
+	Jitter time.Duration // mean of what is added to it by chance; 0 = 50 us
+	Shards int           // parts that are played side by side; the result is the same; 0 = 1
+	Audit  bool          // judge the rules, which keeps a record of all that passes
+	// Decider makes what decides for a front; nil = choice.New.
+	Decider func(s choice.Settings, seed uint64) (Decider, error)
+}
+
+// Result is what came of a day.
+type Result struct {
+	Score    *scene.Score
+	Rules    []audit.Verdict // where they were judged
+	Attempts map[string]int  // reads and writes that reached engines
+	Events   int64           // played
+	LeftOut  []string        // happenings that are not played here
+	Moved    float64         // state tokens that writers fetched
+}
+
+// Run plays a day.
+func Run(d *scene.Day, o Options) (*Result, error) {
+	if d.Planner != nil {
+		return nil, errors.New("fleet: engines that change role are not played here; see the roles' laboratory")
+	}
+	o.Link, o.Jitter = cmp.Or(o.Link, 250*time.Microsecond), cmp.Or(o.Jitter, 50*time.Microsecond)
+	f := &fleet{d: d, o: o, k: newKernel(max(o.Shards, 1), o.Link)}
+	if f.o.Decider == nil {
+		f.o.Decider = func(s choice.Settings, seed uint64) (Decider, error) { return choice.New(s, seed) }
+	}
+	var err error
+	if f.set, err = d.Settings(0); err != nil {
+		return nil, err
+	}
+	f.cs = f.set.Choice()
+	f.clients = newClients(f)
+	f.k.add(f.clients)
+	f.register = newRegister(f)
+	f.k.add(f.register)
+	for i := range d.Kinds {
+		for n := range d.Kinds[i].Count {
+			e := newEngine(f, &d.Kinds[i], i, n)
+			f.k.add(e)
+			f.engines = append(f.engines, e)
+		}
+	}
+	for i := range d.Fronts {
+		x := &front{f: f, index: i, name: fmt.Sprint("front-", i+1)}
+		f.k.add(x)
+		f.fronts = append(f.fronts, x)
+	}
+	for _, x := range f.fronts {
+		if err := x.start(); err != nil {
+			return nil, err
+		}
+	}
+	f.register.begin()
+	f.clients.begin()
+	f.k.run(func(now time.Duration) bool {
+		return now > d.Length+time.Minute || now > d.Length+d.Service.Release+300*time.Millisecond && f.clients.open == 0 && now > f.clients.quiet+d.Service.Release+300*time.Millisecond
+	})
+	return f.result(), nil
+}
+
+type fleet struct {
+	d        *scene.Day
+	o        Options
+	k        *kernel
+	set      *config.Settings
+	cs       choice.Settings
+	clients  *clients
+	register *register
+	engines  []*engine
+	fronts   []*front
+}
+
+// rnd is a party's own source of chance.
+func (f *fleet) rnd(what uint64) *rand.Rand { return rand.New(rand.NewPCG(f.o.Seed, what)) }
+
+// hop is the time that one link takes now.
+func (f *fleet) hop(rnd *rand.Rand) time.Duration {
+	return f.o.Link + time.Duration(rnd.ExpFloat64()*float64(f.o.Jitter))
+}
+
+func (f *fleet) result() *Result {
+	r := &Result{Score: f.clients.score, Attempts: map[string]int{}, LeftOut: f.register.leftOut}
+	var events []audit.Event
+	events = append(append(events, f.clients.log...), f.register.log...)
+	for _, e := range f.engines {
+		events = append(events, e.log...)
+		r.Attempts["read"] += e.reads
+		r.Attempts["write"] += e.writes
+		r.Moved += e.moved
+	}
+	for _, x := range f.fronts {
+		events = append(events, x.log...)
+	}
+	for _, s := range f.k.shards {
+		r.Events += s.events
+	}
+	if f.o.Audit {
+		slices.SortStableFunc(events, func(a, b audit.Event) int { return cmp.Compare(a.At, b.At) })
+		f.dropRepeats(events)
+		r.Rules = audit.Judge(events, audit.Limits{DrainGrace: f.d.Service.DrainGrace, Release: f.d.Service.Release, Slack: 10 * time.Millisecond})
+	}
+	return r
+}
+
+// dropRepeats is the engines' group: of keyed effects it lets the first within the window take place.
+func (f *fleet) dropRepeats(events []audit.Event) {
+	window := time.Minute
+	for _, c := range f.d.Classes {
+		window = max(window, c.Window)
+	}
+	seen := map[string]time.Duration{}
+	for i := range events {
+		e := &events[i]
+		if e.Kind != audit.Run || e.Class != audit.Keyed {
+			continue
+		}
+		if at, ok := seen[e.Effect]; ok && e.At-at <= window {
+			e.Kind = audit.Repeat
+			continue
+		}
+		seen[e.Effect] = e.At
+	}
+}
+
+// tap is a party's part of the record.
+type tap struct {
+	taped bool
+	log   []audit.Event
+}
+
+func (t *tap) record(at time.Duration, e audit.Event) {
+	if t.taped {
+		e.At = at
+		t.log = append(t.log, e)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/fleet_test.go
@@ -0,0 +1,188 @@
+package fleet
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/lab/scene"
+)
+
+func bad(t *testing.T) *scene.Day {
+	t.Helper()
+	d, err := scene.Default()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func play(t *testing.T, d *scene.Day, o Options) *Result {
+	t.Helper()
+	r, err := Run(d, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// TestTheBadDayKeepsItsRules: the day that fronts play on sockets, judged by the same judge.
+func TestTheBadDayKeepsItsRules(t *testing.T) {
+	r := play(t, bad(t), Options{Seed: 1, Audit: true})
+	for _, v := range r.Rules {
+		if v.Checks == 0 || len(v.Breaches) > 0 {
+			t.Errorf("%s: %d checks, %.300v", v.Rule, v.Checks, v.Breaches)
+		}
+	}
+	if s := r.Score.Service(); s < 0.8 || s > 0.99 {
+		t.Errorf("service %.3f", s)
+	}
+	classes, tenants := r.Score.Rows()
+	asked := 0
+	for _, c := range classes {
+		asked += c.Requests
+		if c.Served+c.Refused+c.Failed+c.Broken+c.Left+c.Lost != c.Requests {
+			t.Errorf("%+v does not add up", c)
+		}
+	}
+	for _, c := range tenants {
+		asked -= c.Requests
+	}
+	if asked != 0 || r.Attempts["read"] < 2000 || r.Attempts["write"] < 2000 {
+		t.Errorf("classes have %d more requests than tenants; %v", asked, r.Attempts)
+	}
+}
+
+// TestShardsChangeNothing: one seed gives one course, however many parts are played side by side.
+func TestShardsChangeNothing(t *testing.T) {
+	d := bad(t)
+	if err := d.Scale(15 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	one := play(t, d, Options{Seed: 5, Audit: true})
+	for _, shards := range []int{1, 3, 8} {
+		if again := play(t, d, Options{Seed: 5, Audit: true, Shards: shards}); !reflect.DeepEqual(one, again) {
+			t.Errorf("%d shards: service %v, with one %v", shards, again.Score.Service(), one.Score.Service())
+		}
+	}
+	if other := play(t, d, Options{Seed: 6, Audit: true}); reflect.DeepEqual(one.Rules, other.Rules) {
+		t.Error("another seed changes nothing")
+	}
+}
+
+// careless decides as the module does and never lets go of a state.
+type careless struct{ Decider }
+
+func (c careless) Step(now time.Duration, events []choice.Event) (out []choice.Action) {
+	for _, a := range c.Decider.Step(now, events) {
+		if _, lets := a.(choice.Release); !lets {
+			out = append(out, a)
+		}
+	}
+	return out
+}
+
+// TestACarelessDeciderIsSeen: what the judge is shown is enough to see a broken rule.
+func TestACarelessDeciderIsSeen(t *testing.T) {
+	d := bad(t)
+	r := play(t, d, Options{Seed: 1, Audit: true, Decider: func(s choice.Settings, seed uint64) (Decider, error) {
+		r, err := choice.New(s, seed)
+		return careless{r}, err
+	}})
+	if v := r.Rules[4]; len(v.Breaches) == 0 {
+		t.Errorf("states that nobody lets go of are not seen: %+v", v)
+	}
+}
+
+func TestAnEmptyHouse(t *testing.T) {
+	day := func(more string) *scene.Day {
+		d, err := scene.Parse("x.xml", []byte(strings.Replace(`<day length="5s" rate="20/s" fronts="2" seed="3">
+  <service max-attempts="3" release-within="500ms" drain-grace="500ms" cold-from="0.25" cold-for="1s" overload-factor="4" tip-after="2s" cancel="true"/>
+  <engines kind="r" role="reader" count="2" slots="4" queue="8" memory="100000tokens" read-rate="20000/s"/>
+  <engines kind="w" role="writer" count="2" slots="8" queue="8" memory="100000tokens" read-rate="5000/s" step="10ms" fetch-rate="250000/s"/>
+  <class name="c" effect="unsafe" share="1" aim="1s" deadline="3s" prompt="200tokens" answer="20tokens"/>MORE</day>`, "MORE", more, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d
+	}
+	if r := play(t, day(""), Options{Audit: true}); r.Score.Service() < 0.999 || r.Moved == 0 {
+		t.Errorf("a quiet day: service %v, %v tokens moved", r.Score.Service(), r.Moved)
+	}
+	// with no reader left all is refused or failed, in time, and nothing runs
+	r := play(t, day(`<happen at="0s" what="crash" kind="r" count="2" for="5s"/>`), Options{Audit: true})
+	if r.Attempts["write"] != 0 || r.Score.Service() > 0.001 {
+		t.Errorf("without readers: %v, service %v", r.Attempts, r.Score.Service())
+	}
+	for _, v := range r.Rules[:3] {
+		if len(v.Breaches) > 0 {
+			t.Errorf("%s: %v", v.Rule, v.Breaches)
+		}
+	}
+	// all fronts dead for a while: their clients find the way back
+	r = play(t, day(`<happen at="1s" what="front-kill" count="2" for="500ms"/>`), Options{Audit: true})
+	classes, _ := r.Score.Rows()
+	if c := classes[0]; c.Service < 0.8 || len(r.Rules[0].Breaches)+len(r.Rules[1].Breaches) > 0 {
+		t.Errorf("%+v %v", c, r.Rules[:2])
+	}
+	shift, err := scene.Load("../../../days/roles-shift.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Run(shift, Options{}); err == nil {
+		t.Error("a planner was passed over in silence")
+	}
+}
+
+// TestMessagesComeInOrder: by time, then sender, then number, and never sooner than a link takes.
+func TestMessagesComeInOrder(t *testing.T) {
+	for _, shards := range []int{1, 4} {
+		k := newKernel(shards, time.Millisecond)
+		var all []*echo
+		for range 8 {
+			e := &echo{}
+			k.add(e)
+			all = append(all, e)
+		}
+		for _, e := range all {
+			e.later(time.Duration(e.id)*100*time.Microsecond, 0)
+		}
+		k.run(func(now time.Duration) bool { return now > time.Second })
+		for _, e := range all {
+			if len(e.got) < 100 || e.wrong > 0 {
+				t.Errorf("%d shards: party %d got %d, %d out of order", shards, e.id, len(e.got), e.wrong)
+			}
+		}
+		if shards == 1 {
+			first = fmt.Sprint(all[3].got)
+		} else if now := fmt.Sprint(all[3].got); now != first {
+			t.Error("shards change what a party sees")
+		}
+	}
+}
+
+var first string
+
+// echo passes each number on to two others.
+type echo struct {
+	base
+	got   []string
+	last  time.Duration
+	wrong int
+}
+
+func (e *echo) take(m any) {
+	if e.now() < e.last {
+		e.wrong++
+	}
+	e.last = e.now()
+	n := m.(int)
+	e.got = append(e.got, fmt.Sprint(e.now(), n))
+	if n < 9 {
+		e.send((e.id+3)%8, 0, n+1)
+		e.send((e.id+5)%8, time.Duration(n)*300*time.Microsecond, n+1)
+	}
+}
--- /dev/null
+++ b/internal/lab/fleet/front.go
@@ -0,0 +1,465 @@
+package fleet
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/api"
+	"brackenbend/internal/audit"
+	reg "brackenbend/internal/register"
+)
+
+// epoch is the router's time at the day's beginning, so that engines may have started before.
+const epoch = 24 * time.Hour
+
+// startUp is how long a front's process takes from its start until it listens.
+const startUp = 100 * time.Millisecond
+
+// front is one front: a decider, and what the daemon does around it.
+type front struct {
+	base
+	tap
+	f     *fleet
+	rnd   *rand.Rand
+	index int
+	name  string
+
+	run      int // of its process; what belongs to an earlier one is passed over
+	up       bool
+	draining bool
+	d        Decider
+	next     choice.RequestID
+	flights  map[choice.RequestID]*flight
+	byTry    map[uint64]*flight
+	touched  []*flight         // answered in this step
+	ids      []choice.ServerID // by engine
+	engines  map[choice.ServerID]int
+	open     []bool   // by engine: new work may go there
+	known    []listed // by engine: as last told
+}
+
+// flight is a request until its last attempt has ended.
+type flight struct {
+	id       choice.RequestID
+	msg      asks
+	due      time.Duration // by the simulation's clock
+	state    answerState
+	owner    int // attempt that streams
+	attempts []*attempt
+	out      int
+	at       stateAt
+}
+
+type answerState uint8
+
+const (
+	open answerState = iota
+	streaming
+	answered
+)
+
+type attempt struct {
+	engine   int
+	write    bool
+	id       string
+	began    time.Duration
+	over     bool
+	unsent   bool
+	released bool
+}
+
+// What a front says to itself; run tells for which of its processes.
+type (
+	timer struct {
+		run int
+		tag uint64
+	}
+	limit struct {
+		run     int
+		request choice.RequestID
+		attempt int
+	}
+	lastLook struct {
+		run     int
+		request choice.RequestID
+	}
+	listens struct{ run int }
+	deed    struct {
+		run int
+		do  func()
+	}
+)
+
+// start begins a process.
+func (x *front) start() error {
+	if x.rnd == nil {
+		x.rnd, x.taped = x.f.rnd(1<<20+uint64(x.index)), x.f.o.Audit
+		x.engines = map[choice.ServerID]int{}
+		for i, e := range x.f.engines {
+			id := reg.ServerID(e.name, func(id choice.ServerID) bool { _, taken := x.engines[id]; return taken })
+			x.ids, x.engines[id] = append(x.ids, id), i
+		}
+	}
+	seed := uint64(x.f.d.Seed)*1000 + uint64(x.index) + 1
+	var err error
+	if x.d, err = x.f.o.Decider(x.f.cs, seed); err != nil {
+		return err
+	}
+	x.run++
+	x.up, x.draining, x.next = true, false, 0
+	x.flights, x.byTry, x.open = map[choice.RequestID]*flight{}, map[uint64]*flight{}, make([]bool, len(x.f.engines))
+	x.record(x.now(), audit.Event{Kind: audit.FrontUp, Front: x.name})
+	if x.known != nil { // the list on disk
+		x.list(news{choice.Cached, slices.Clone(x.known)})
+	}
+	return nil
+}
+
+func (x *front) take(m any) {
+	if !x.up {
+		switch m := m.(type) {
+		case asks:
+			x.answer(m.try, "unconnected", 0, false)
+		case signal:
+			if m.what == "start" {
+				x.later(startUp, listens{})
+			}
+		case listens:
+			if err := x.start(); err != nil { // the same settings were taken before
+				panic(err)
+			}
+			x.send(x.f.register.id, 4*x.f.hop(x.rnd), wants{x.index})
+		}
+		return
+	}
+	switch m := m.(type) {
+	case asks:
+		x.asked(m)
+	case leaves:
+		if fl := x.byTry[m.try]; fl != nil {
+			x.gone(fl)
+		}
+	case news:
+		x.list(m)
+	case ended:
+		if m.run == x.run {
+			x.ended(m)
+		}
+	case firsts:
+		if m.run == x.run {
+			x.first(m)
+		}
+	case timer:
+		if m.run == x.run {
+			x.step(choice.Timer{Tag: m.tag})
+		}
+	case limit:
+		x.limit(m)
+	case lastLook:
+		if fl := x.flights[m.request]; m.run == x.run && fl != nil && fl.state != answered {
+			x.finish(fl, "failed", 0, x.unsafe(fl))
+			x.gone(fl)
+		}
+	case deed:
+		if m.run == x.run {
+			m.do()
+		}
+	case signal:
+		x.signal(m.what)
+	}
+	if x.draining && len(x.flights) == 0 {
+		x.down()
+	}
+}
+
+func (x *front) signal(what string) {
+	switch what {
+	case "front-kill":
+		x.record(x.now(), audit.Event{Kind: audit.FrontKill, Front: x.name})
+		for _, id := range slices.Sorted(maps.Keys(x.flights)) {
+			fl := x.flights[id]
+			if fl.state != answered {
+				x.answer(fl.msg.try, "cut", 0, false)
+			}
+			x.cancelAll(fl)
+		}
+		x.down()
+	case "front-stop":
+		x.draining = true
+		run := x.run
+		x.later(10*time.Second, deed{run, func() {
+			for _, id := range slices.Sorted(maps.Keys(x.flights)) {
+				fl := x.flights[id]
+				if fl.state != answered {
+					x.finish(fl, "failed", 0, x.unsafe(fl))
+				}
+				x.cancelAll(fl)
+			}
+			x.down()
+		}})
+	case "start": // it still drains: it begins anew once it is down
+		if x.draining {
+			run := x.run
+			x.later(100*time.Millisecond, deed{run, func() { x.signal("start") }})
+			return
+		}
+	}
+}
+
+func (x *front) down() {
+	x.up, x.draining = false, false
+	x.flights, x.byTry = nil, nil
+}
+
+// answer tells a client the end.
+func (x *front) answer(try uint64, kind string, wait time.Duration, handUp bool) {
+	x.send(x.f.clients.id, x.f.hop(x.rnd), answers{try, kind, wait, handUp})
+}
+
+func (x *front) unsafe(fl *flight) bool {
+	return x.f.cs.Classes[fl.msg.traits.Class].Effect != choice.Safe
+}
+
+// finish is a flight's final answer.
+func (x *front) finish(fl *flight, kind string, wait time.Duration, handUp bool) {
+	if fl.state == answered {
+		return
+	}
+	fl.state = answered
+	x.answer(fl.msg.try, kind, wait, handUp)
+}
+
+func (x *front) asked(m asks) {
+	if x.draining {
+		x.answer(m.try, "turned", time.Second, false)
+		return
+	}
+	x.next++
+	fl := &flight{id: x.next, msg: m, at: stateAt{reader: -1}}
+	margin := x.f.set.Front.Margin
+	wait := api.Wait(x.f.cs.Classes[m.traits.Class].Deadline, m.wait)
+	fl.due = x.now() + api.Within(wait, margin)
+	x.flights[fl.id], x.byTry[m.try] = fl, fl
+	x.later(fl.due+margin/2-x.now(), lastLook{x.run, fl.id})
+	if !m.stream {
+		x.later(api.Within(m.wait, margin), lastLook{x.run, fl.id})
+	}
+	x.step(m.traits.Event(fl.id, fl.due+epoch))
+	x.tidy(fl)
+}
+
+// gone is a client that left, or whose time was up.
+func (x *front) gone(fl *flight) {
+	if fl.state == streaming {
+		x.cancelAll(fl)
+	}
+	fl.state = answered
+	x.step(choice.ClientGone{Request: fl.id})
+	x.tidy(fl)
+}
+
+// tidy forgets a flight that has its answer and no attempt out.
+func (x *front) tidy(fl *flight) {
+	if fl.state == answered && fl.out == 0 && x.flights != nil {
+		delete(x.flights, fl.id)
+		delete(x.byTry, fl.msg.try)
+	}
+}
+
+func (x *front) step(ev choice.Event) {
+	for _, a := range x.d.Step(x.now()+epoch, []choice.Event{ev}) {
+		x.act(a)
+	}
+	for _, fl := range x.touched { // not before all actions are carried out: a release may follow the answer
+		x.tidy(fl)
+	}
+	x.touched = x.touched[:0]
+}
+
+func (x *front) act(a choice.Action) {
+	switch a := a.(type) {
+	case choice.Send:
+		x.launch(a)
+	case choice.Refuse:
+		if fl := x.flights[a.Request]; fl != nil {
+			x.finish(fl, "refused", a.Wait, a.HandUp)
+			x.touched = append(x.touched, fl)
+		}
+	case choice.Fail:
+		if fl := x.flights[a.Request]; fl != nil {
+			x.finish(fl, "failed", 0, a.Earlier || x.unsafe(fl))
+			x.touched = append(x.touched, fl)
+		}
+	case choice.Cancel:
+		if fl := x.flights[a.Request]; fl != nil && a.Attempt < len(fl.attempts) {
+			x.callOff(fl, a.Attempt)
+		}
+	case choice.Release:
+		if fl := x.flights[a.Request]; fl != nil {
+			for _, at := range fl.attempts {
+				x.letGo(at)
+			}
+		}
+	case choice.Wake:
+		x.later(a.After, timer{x.run, a.Tag})
+	}
+}
+
+// launch starts an attempt.
+func (x *front) launch(a choice.Send) {
+	fl, engine := x.flights[a.Request], x.engines[a.Server]
+	e := x.f.engines[engine]
+	n := len(fl.attempts)
+	at := &attempt{engine: engine, write: e.role != choice.Reader, began: x.now(),
+		id: "f" + strconv.Itoa(x.index+1) + "r" + strconv.Itoa(x.run) + "-" + strconv.FormatUint(uint64(fl.id), 16) + "-" + strconv.Itoa(n)}
+	fl.attempts = append(fl.attempts, at)
+	fl.out++
+	if !x.open[engine] { // told to drain between the decision and the first byte
+		at.unsent = true
+		x.later(0, deed{x.run, func() { x.over(fl, n, choice.NotSent, false, 0) }})
+		return
+	}
+	s := sends{front: x.id, run: x.run, request: fl.id, attempt: n, id: at.id, name: x.name, write: at.write, state: stateAt{reader: -1}, work: fl.msg.work}
+	if at.write {
+		s.state = fl.at
+	} else {
+		fl.at = stateAt{reader: -1}
+	}
+	after := x.f.hop(x.rnd)
+	if at.write && x.f.cs.Classes[fl.msg.traits.Class].Effect == choice.Unsafe { // a connection of its own
+		after += 2 * x.f.o.Link
+	}
+	x.send(e.id, after, s)
+	end := fl.due
+	if a.Timeout > 0 {
+		end = min(end, x.now()+a.Timeout)
+	}
+	x.later(end-x.now(), limit{x.run, fl.id, n})
+}
+
+// limit is the end of an attempt's time for its first token, or its whole read.
+func (x *front) limit(m limit) {
+	fl := x.flights[m.request]
+	if m.run != x.run || fl == nil || fl.attempts[m.attempt].over || fl.state == streaming && fl.owner == m.attempt {
+		return
+	}
+	x.cut(fl, m.attempt)
+	x.over(fl, m.attempt, choice.TimedOut, false, 0)
+}
+
+// cut ends an attempt's connection.
+func (x *front) cut(fl *flight, n int) {
+	at := fl.attempts[n]
+	x.send(x.f.engines[at.engine].id, x.f.hop(x.rnd), cancels{at.id})
+}
+
+func (x *front) callOff(fl *flight, n int) {
+	if !fl.attempts[n].over && !fl.attempts[n].unsent {
+		x.cut(fl, n)
+		x.later(0, deed{x.run, func() { x.over(fl, n, choice.Cancelled, false, 0) }})
+	}
+}
+
+func (x *front) cancelAll(fl *flight) {
+	for n := range fl.attempts {
+		x.callOff(fl, n)
+	}
+}
+
+// letGo tells the reader to let go of what a read left, once the attempt has ended.
+func (x *front) letGo(at *attempt) {
+	if at.write || at.released {
+		return
+	}
+	at.released = true
+	if at.over {
+		x.release(at)
+	}
+}
+
+func (x *front) release(at *attempt) {
+	if !at.unsent {
+		x.send(x.f.engines[at.engine].id, x.f.hop(x.rnd), lets{at.id})
+	}
+}
+
+func (x *front) first(m firsts) {
+	fl := x.flights[m.request]
+	if fl == nil || fl.attempts[m.attempt].over {
+		return
+	}
+	if fl.state != open { // another answer was given
+		x.cut(fl, m.attempt)
+		x.over(fl, m.attempt, choice.Cancelled, false, 0)
+		return
+	}
+	fl.state, fl.owner = streaming, m.attempt
+	at := fl.attempts[m.attempt]
+	if fl.msg.stream {
+		x.send(x.f.clients.id, x.f.hop(x.rnd), begins{fl.msg.try})
+	}
+	x.step(choice.First{Request: fl.id, Attempt: m.attempt, Server: x.ids[at.engine], Elapsed: x.now() - at.began})
+}
+
+func (x *front) ended(m ended) {
+	if fl := x.flights[m.request]; fl != nil && !fl.attempts[m.attempt].over {
+		x.over(fl, m.attempt, m.result, m.noState, m.kept)
+	}
+}
+
+// over is the end of an attempt.
+func (x *front) over(fl *flight, n int, result choice.Result, noState bool, kept float64) {
+	at := fl.attempts[n]
+	if at.over {
+		return
+	}
+	at.over = true
+	at.unsent = at.unsent || result == choice.ConnectFailed || result == choice.Turned || result == choice.NotSent
+	fl.out--
+	over := fl.state == streaming && fl.owner == n
+	if over {
+		switch {
+		case result == choice.Served:
+			x.finish(fl, "served", 0, false)
+		case fl.msg.stream:
+			x.finish(fl, "broken", 0, false)
+		default:
+			x.finish(fl, "failed", 0, x.unsafe(fl))
+		}
+	}
+	if result == choice.ReadDone {
+		fl.at = stateAt{at.engine, at.id}
+	}
+	if !at.write && (at.released || result != choice.ReadDone) { // a state that it may have left is known to nobody
+		at.released = true
+		x.release(at)
+	}
+	x.step(choice.Outcome{Request: fl.id, Attempt: n, Server: x.ids[at.engine], Elapsed: x.now() - at.began, Over: over, Result: result,
+		NoState: noState, Kept: kept})
+	x.tidy(fl)
+}
+
+// list takes news of the engines; those that drain or are gone are shut before the module hears of them.
+func (x *front) list(n news) {
+	if x.known == nil {
+		x.known = make([]listed, len(x.f.engines))
+	}
+	ev := choice.ServerList{Scope: n.scope}
+	for _, l := range n.engines {
+		x.known[l.engine] = listed{l.engine, l.state, l.started}
+		x.open[l.engine] = l.state == choice.Ready
+		e := x.f.engines[l.engine]
+		s := choice.Server{ID: x.ids[l.engine], Kind: e.kindIndex, Cell: e.cell, State: l.state}
+		if l.started > 0 {
+			s.ReadyAt = epoch + l.started
+		}
+		ev.Servers = append(ev.Servers, s)
+	}
+	x.step(ev)
+}
+
+func keys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/lab/fleet/register.go
@@ -0,0 +1,260 @@
+package fleet
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/audit"
+	"brackenbend/internal/lab/scene"
+)
+
+// register lists the engines to the fronts, and carries out what the day's script does to engines and fronts: it is the
+// only party that does.
+type register struct {
+	base
+	tap
+	f       *fleet
+	rnd     *rand.Rand // the script's draws, as on sockets
+	links   *rand.Rand
+	lines   []line
+	late    time.Duration
+	cut     bool
+	down    map[int]bool // fronts
+	leftOut []string
+}
+
+// line is what the register knows of an engine.
+type line struct {
+	up, unlisted, draining bool
+	started                time.Duration // 0 = long ago
+	faulty                 int
+}
+
+// What the register says to others.
+type (
+	// news is a list: of one engine (Changes), or of all.
+	news struct {
+		scope   choice.ListScope
+		engines []listed
+	}
+	listed struct {
+		engine  int
+		state   choice.State
+		started time.Duration
+	}
+	// harm changes what is wrong with an engine.
+	harm struct {
+		what   string
+		on     bool
+		part   float64
+		factor float64
+		class  string
+	}
+	// signal ends a front, or starts it anew.
+	signal struct{ what string }
+)
+
+// What it hears, or says to itself.
+type (
+	// state is an engine's word that its process began or ended by itself.
+	wentDown struct{ engine int }
+	cameUp   struct {
+		engine  int
+		started time.Duration
+	}
+	// wants is a front that asks for the whole list.
+	wants  struct{ front int }
+	strike struct{ do func() }
+)
+
+func newRegister(f *fleet) *register {
+	return &register{f: f, rnd: rand.New(rand.NewPCG(uint64(f.d.Seed), 1)), links: f.rnd(2), down: map[int]bool{}, tap: tap{taped: f.o.Audit}}
+}
+
+func (r *register) begin() {
+	r.lines = make([]line, len(r.f.engines))
+	for i, e := range r.f.engines {
+		r.lines[i].up = true
+		r.record(0, audit.Event{Kind: audit.EngineUp, Engine: e.name})
+	}
+	for i := range r.f.fronts {
+		r.tell(i, true)
+	}
+	hs := slices.Clone(r.f.d.Happens)
+	slices.SortStableFunc(hs, func(a, b scene.Happening) int { return cmp.Compare(a.At, b.At) })
+	for i := range hs {
+		h := &hs[i]
+		calm := scene.Calm()
+		if calm.Change(h) != nil {
+			if h.What == "slow-readers" {
+				r.leaveOut(h)
+			}
+			continue
+		}
+		r.later(h.At, strike{func() {
+			if undo := r.strike(h); undo != nil {
+				r.later(h.For, strike{undo})
+			}
+		}})
+	}
+}
+
+func (r *register) leaveOut(h *scene.Happening) {
+	if !slices.Contains(r.leftOut, h.What) {
+		r.leftOut = append(r.leftOut, h.What)
+	}
+}
+
+func (r *register) take(m any) {
+	switch m := m.(type) {
+	case strike:
+		m.do()
+	case wentDown:
+		r.lines[m.engine].up = false
+		r.changed(m.engine)
+	case cameUp:
+		r.lines[m.engine].up, r.lines[m.engine].started = true, m.started
+		r.changed(m.engine)
+	case wants:
+		r.tell(m.front, true)
+	}
+}
+
+func (r *register) state(i int) choice.State {
+	switch l := &r.lines[i]; {
+	case l.unlisted || !l.up:
+		return choice.Gone
+	case l.draining:
+		return choice.Draining
+	}
+	return choice.Ready
+}
+
+// changed tells every front of one engine.
+func (r *register) changed(engine int) {
+	if r.cut {
+		return
+	}
+	for i := range r.f.fronts {
+		if !r.down[i] {
+			r.give(i, news{choice.Changes, []listed{{engine, r.state(engine), r.lines[engine].started}}})
+		}
+	}
+}
+
+// tell gives a front the whole list.
+func (r *register) tell(front int, now bool) {
+	if r.cut || r.down[front] {
+		return
+	}
+	n := news{scope: choice.Full}
+	for i := range r.lines {
+		n.engines = append(n.engines, listed{i, r.state(i), r.lines[i].started})
+	}
+	r.give(front, n)
+}
+
+func (r *register) give(front int, n news) {
+	x := r.f.fronts[front]
+	after := r.late + r.f.hop(r.links)
+	for _, l := range n.engines {
+		kind := audit.Told
+		if l.state == choice.Ready {
+			kind = audit.ToldReady
+		}
+		at := r.now() + after // drains count once they were heard, and readiness from before
+		if kind == audit.ToldReady {
+			at = r.now()
+		}
+		r.record(at, audit.Event{Kind: kind, Front: x.name, Engine: r.f.engines[l.engine].name})
+	}
+	r.send(x.id, after, n)
+}
+
+// pick draws engines for a happening as a day on sockets does.
+func (r *register) pick(h *scene.Happening) []int {
+	var all []int
+	for i, e := range r.f.engines {
+		if l := &r.lines[i]; (h.Kind == "" || e.kind.Name == h.Kind) && l.up && l.faulty == 0 && !l.draining {
+			all = append(all, i)
+		}
+	}
+	return scene.Draw(h, r.rnd, all)
+}
+
+// strike begins a happening and gives what ends it.
+func (r *register) strike(h *scene.Happening) (undo func()) {
+	switch h.What {
+	case "front-kill", "front-stop":
+		return r.fronts(h)
+	case "register-cut":
+		r.cut = true
+		return func() {
+			r.cut = false
+			for i := range r.f.fronts { // each when its pause is over
+				most := min(h.For, 5*time.Second)
+				r.later(time.Duration(r.links.Float64()*float64(most)), strike{func() { r.tell(i, false) }})
+			}
+		}
+	case "register-late":
+		r.late = h.Late
+		return func() { r.late = 0 }
+	case "register-compact", "register-stale", "register-flap", "reports-frozen", "reports-none", "liar", "planner-stop", "role-force":
+		if h.What != "register-compact" { // which a front does not feel but by a new list
+			r.leaveOut(h)
+		}
+		return nil
+	}
+	picked := r.pick(h)
+	for _, i := range picked {
+		r.lines[i].faulty++
+		r.harm(i, h, true)
+	}
+	return func() {
+		for _, i := range picked {
+			r.harm(i, h, false)
+			r.lines[i].faulty--
+		}
+	}
+}
+
+func (r *register) harm(i int, h *scene.Happening, on bool) {
+	l := &r.lines[i]
+	switch h.What {
+	case "drain":
+		l.draining = on
+		r.changed(i)
+		return
+	case "remove":
+		l.unlisted = on
+		r.changed(i)
+		return
+	case "crash":
+		if on { // the register hears of a process's end as soon as others do
+			l.up = false
+			r.changed(i)
+		}
+	}
+	r.send(r.f.engines[i].id, r.f.hop(r.links), harm{h.What, on, h.Part, h.Factor, h.Class})
+}
+
+// fronts kills or stops some.
+func (r *register) fronts(h *scene.Happening) func() {
+	var picked []int
+	for _, i := range r.rnd.Perm(len(r.f.fronts)) {
+		if !r.down[i] && len(picked) < max(h.Count, 1) {
+			picked = append(picked, i)
+			r.down[i] = true
+			r.send(r.f.fronts[i].id, r.f.hop(r.links), signal{h.What})
+		}
+	}
+	return func() {
+		for _, i := range picked {
+			r.send(r.f.fronts[i].id, r.f.hop(r.links), signal{"start"})
+			r.down[i] = false
+		}
+	}
+}
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -174,8 +174,8 @@
 	if d.Rate <= 0 || d.Rate > 5000 {
 		report(d.Pos, "write a rate up to 5000/s", "a rate of %v/s", d.Rate)
 	}
-	if d.Fronts < 1 || d.Fronts > 32 {
-		report(d.Pos, "write 1 to 32", "%d fronts", d.Fronts)
+	if d.Fronts < 1 || d.Fronts > mostFronts {
+		report(d.Pos, fmt.Sprintf("write 1 to %d", mostFronts), "%d fronts", d.Fronts)
 	}
 	engines, share := 0, 0.0
 	reads, writes := false, false
@@ -209,8 +209,8 @@
 			report(d.Planner.Pos, "write 1 to 8", "%d planners", d.Planner.Count)
 		}
 	}
-	if engines > 200 {
-		report(d.Pos, "lower the counts", "%d engines, 200 at most", engines)
+	if engines > mostEngines {
+		report(d.Pos, "lower the counts", "%d engines, %d at most", engines, mostEngines)
 	}
 	if !reads || !writes {
 		report(d.Pos, "add engines of the missing role", "nothing reads, or nothing writes")
@@ -237,6 +237,33 @@
 	}
 }
 
+// Bounds of a day in simulated time; on sockets they are narrower, see OnSockets.
+const (
+	mostFronts  = 10000
+	mostEngines = 5000
+)
+
+// Engines is the number of engines.
+func (d *Day) Engines() (n int) {
+	for _, k := range d.Kinds {
+		n += k.Count
+	}
+	return n
+}
+
+// OnSockets tells why the day can't be played on one machine's sockets; nil where it can.
+func (d *Day) OnSockets() error {
+	switch {
+	case d.Fronts > 32:
+		return fmt.Errorf("day: %d fronts, 32 at most on sockets", d.Fronts)
+	case d.Engines() > 200:
+		return fmt.Errorf("day: %d engines, 200 at most on sockets", d.Engines())
+	case d.Rate > 1000:
+		return fmt.Errorf("day: %v requests a second, 1000 at most on sockets", float64(d.Rate))
+	}
+	return nil
+}
+
 // Scale makes the day last so long, everything in it in proportion.
 func (d *Day) Scale(length time.Duration) error {
 	if length < time.Second || length > time.Hour {
--- a/internal/register/slice.go
+++ b/internal/register/slice.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"brackenbend/choice"
 )
 
@@ -245,3 +247,14 @@
 	}
 	return nil
 }
+
+// ServerID gives the same id to the same name in every front, since prefixes are hashed with it; only where two names of
+// one list collide (about 1 in 16,000 lists of 740) may fronts differ. taken tells which ids are in use.
+func ServerID(name string, taken func(choice.ServerID) bool) choice.ServerID {
+	for i := 0; ; i++ {
+		id := choice.ServerID(xxhash.Sum64String(name + "#" + strconv.Itoa(i)))
+		if id != 0 && !taken(id) {
+			return id
+		}
+	}
+}
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -39,6 +39,7 @@
 	Out        int     // tokens that it will answer
 	ReadOnly   bool    // leave the state for a writer
 	FetchState float64 // tokens of a state to fetch instead of reading; 0 = read here
+	Quiet      bool    // Token is called for the first token only: steps that only write quiet jobs are taken many at once
 
 	Token func(n int)        // the n-th token is out, from 1; never called for a ReadOnly job
 	Done  func(kept float64) // ended well
@@ -73,6 +74,8 @@
 	used    float64
 	stepEnd time.Duration // of the running step; 0 = none
 	step    stepWork
+	many    int           // steps taken at once, all alike; stepEnd is the last one's
+	stepFor time.Duration // of one of them
 	kept    map[string]*list.Element
 	keptLRU *list.List
 	keptSum float64
@@ -148,7 +151,10 @@
 }
 
 // SetSlow makes every step so many times slower.
-func (e *Engine) SetSlow(factor float64) { e.slow = max(factor, 1e-3) }
+func (e *Engine) SetSlow(factor float64) {
+	e.cut()
+	e.slow = max(factor, 1e-3)
+}
 
 // Forget drops all kept texts.
 func (e *Engine) Forget() {
@@ -217,7 +223,7 @@
 // Reset ends all work and forgets everything, as a crash does.
 func (e *Engine) Reset() {
 	jobs := append(slices.Clone(e.running), e.queue...)
-	e.running, e.queue, e.stepEnd, e.used = nil, nil, 0, 0
+	e.running, e.queue, e.stepEnd, e.used, e.many = nil, nil, 0, 0, 0
 	clear(e.states)
 	e.Forget()
 	for _, j := range jobs {
@@ -240,6 +246,7 @@
 }
 
 func (e *Engine) remove(j *Job) {
+	e.cut()
 	is := func(o *Job) bool { return o == j }
 	if n := len(e.queue); n > 0 {
 		e.queue = slices.DeleteFunc(e.queue, is)
@@ -319,6 +326,7 @@
 		if e.used+j.memory() > e.p.Memory && len(e.running)+len(e.states) > 0 {
 			return
 		}
+		e.cut()
 		e.queue = e.queue[1:]
 		e.used += j.memory()
 		e.running = append(e.running, j)
@@ -363,7 +371,50 @@
 		took += time.Duration(w.tokens / e.p.ReadRate * float64(time.Second))
 	}
 	e.step = w
-	e.stepEnd = e.now + max(time.Duration(float64(took)*e.slow/e.Present()), time.Microsecond)
+	e.stepFor = max(time.Duration(float64(took)*e.slow/e.Present()), time.Microsecond)
+	e.many = e.alike()
+	e.stepEnd = e.now + time.Duration(e.many)*e.stepFor
+}
+
+// alike is how many steps will be as the one that begins: until an answer ends or memory runs out, if all that run are
+// quiet answers that have begun, and the engine is warm.
+func (e *Engine) alike() int {
+	n := len(e.step.write)
+	if n == 0 || n != len(e.running) || e.Present() < 1 {
+		return 1
+	}
+	many := math.MaxInt
+	for _, j := range e.step.write {
+		if !j.Quiet || j.out == 0 {
+			return 1
+		}
+		many = min(many, j.Out-j.out)
+	}
+	return max(min(many, int((e.p.Memory-e.used)/float64(n))), 1)
+}
+
+// settle books those of many steps that are over by now.
+func (e *Engine) settle() {
+	if e.many <= 1 || e.stepEnd == 0 {
+		return
+	}
+	left := int((e.stepEnd - e.now + e.stepFor - 1) / e.stepFor) // the running one included
+	if over := e.many - max(left, 1); over > 0 {
+		for _, j := range e.step.write {
+			j.out += over
+		}
+		e.used += float64(over * len(e.step.write))
+		e.many -= over
+	}
+}
+
+// cut ends a run of steps after the present one: what follows differs.
+func (e *Engine) cut() {
+	e.settle()
+	if e.many > 1 && e.stepEnd != 0 {
+		e.stepEnd -= time.Duration(e.many-1) * e.stepFor
+		e.many = 1
+	}
 }
 
 // Next is when something is due; false when nothing is.
@@ -403,6 +454,7 @@
 			}
 		}
 		if e.stepEnd != 0 && e.stepEnd <= e.now {
+			e.settle()
 			e.stepEnd = 0
 			e.endStep()
 		}
@@ -410,6 +462,7 @@
 		e.begin()
 	}
 	e.pass(max(e.now, now))
+	e.settle()
 }
 
 // pass moves the clock and counts the slots in use by answers.
@@ -447,7 +500,7 @@
 			e.keep("s:"+j.Session, j.memory())
 			e.remove(j)
 		}
-		if j.Token != nil {
+		if j.Token != nil && (n == 1 || !j.Quiet) {
 			j.Token(n)
 		}
 		if n >= j.Out && j.Done != nil {
@@ -507,6 +560,7 @@
 // Become takes other parameters while it works: those of a role that adds a stage.
 func (e *Engine) Become(now time.Duration, p Params) {
 	e.Advance(now)
+	e.cut()
 	e.p = p
 	e.admit()
 	e.begin()
--- a/internal/standin/model/model_test.go
+++ b/internal/standin/model/model_test.go
@@ -1,8 +1,13 @@
 package model
 
 import (
+	"fmt"
+	"math"
+	"slices"
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 func params() Params {
@@ -102,3 +107,68 @@
 		}
 	}
 }
+
+// TestManyStepsAtOnceAreTheSame: quiet jobs end when others would, whatever comes, is called off, slows down or falls due
+// between.
+func TestManyStepsAtOnceAreTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := params()
+		p.Slots, p.Queue, p.StepStream = 6, 6, 700*time.Microsecond
+		p.Memory = float64(rapid.IntRange(400, 4000).Draw(t, "memory"))
+		cold := rapid.Bool().Draw(t, "cold")
+		p.Overload = 0
+		var logs [2][]string
+		var engines [2]*Engine
+		for i := range engines {
+			engines[i] = New(p, 0, cold)
+		}
+		jobs := [2][]*Job{}
+		now := time.Duration(0)
+		for n := range rapid.IntRange(1, 40).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 400000).Draw(t, "later")) * time.Microsecond
+			what := rapid.IntRange(0, 5).Draw(t, "what")
+			prompt, out, other := float64(rapid.IntRange(1, 600).Draw(t, "prompt")), rapid.IntRange(1, 80).Draw(t, "out"), rapid.IntRange(0, 100).Draw(t, "other")
+			for i, e := range engines {
+				log := func(format string, a ...any) { logs[i] = append(logs[i], fmt.Sprintf(format, a...)) }
+				switch {
+				case what < 4:
+					j := &Job{ID: fmt.Sprint(n), Prompt: prompt, Out: out, Quiet: i == 1}
+					if what == 0 {
+						j.FetchState = prompt
+					}
+					j.Token = func(k int) {
+						if k == 1 {
+							log("%d first %v", n, e.now)
+						}
+					}
+					j.Done = func(float64) { log("%d done %v", n, e.now) }
+					log("%d taken %v", n, e.Submit(now, j))
+					jobs[i] = append(jobs[i], j)
+				case what == 4 && len(jobs[i]) > 0:
+					e.Cancel(now, jobs[i][other%len(jobs[i])])
+				default:
+					e.Advance(now)
+					e.SetSlow([]float64{1, 3}[other%2])
+				}
+				util, queue, memory := e.Load()
+				log("%v %v %.9f", util, queue, memory)
+			}
+		}
+		for i, e := range engines {
+			e.Advance(now + time.Hour)
+			w := e.Work()
+			logs[i] = append(logs[i], fmt.Sprintf("%v %v", e.used, w.Writes))
+			if v := engines[0].Work(); math.Abs(v.ReadDone-w.ReadDone)+math.Abs(v.WriteDone-w.WriteDone) > 1e-9 {
+				t.Fatalf("work %+v, many at once %+v", v, w)
+			}
+		}
+		if !slices.Equal(logs[0], logs[1]) {
+			for k := range logs[0] {
+				if k >= len(logs[1]) || logs[0][k] != logs[1][k] {
+					t.Fatalf("entry %d: %q, many at once %q", k, logs[0][k], logs[1][min(k, len(logs[1])-1)])
+				}
+			}
+			t.Fatal("more entries with many at once")
+		}
+	})
+}
