--- /dev/null
+++ b/cmd/brackenbend/lab_forecast.go
@@ -0,0 +1,215 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"brackenbend/choice"
+	"brackenbend/internal/config"
+	"brackenbend/internal/day"
+	"brackenbend/internal/lab/baseline"
+	"brackenbend/internal/lab/fleet"
+	"brackenbend/internal/lab/forecast"
+	"brackenbend/internal/lab/scene"
+)
+
+func labForecastCommand() *cobra.Command {
+	runs, real, fit := 20, false, false
+	var model forecast.Model
+	level := 0.95
+	var jsonFile string
+	cmd := &cobra.Command{
+		Use:   "forecast DAY...",
+		Short: "Say what days will come to on sockets, with error bars",
+		Long: `Play each day many times in simulated time and give bars in which one run on sockets will lie. The bars hold the spread of
+courses, and how far the emulator was off on days that were played for real (--floor, --part; --fit finds them). With --real
+each day is played on sockets as well, one after the other, after all forecasts were made.`,
+		Example: "  brackenbend lab forecast days/stall.xml\n  brackenbend lab forecast --real --fit days/crash.xml days/slow.xml",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if runs < 3 || runs > 1000 || !(level > 0 && level < 1) {
+				return coded{fmt.Errorf("--runs: 3 to 1000; --level: between 0 and 1"), exitUsage}
+			}
+			var days []*scene.Day
+			var all []*forecast.Forecast
+			for _, file := range args {
+				d, err := loadDay([]string{file})
+				if err != nil {
+					return err
+				}
+				f, err := forecast.Predict(strings.TrimSuffix(filepath.Base(file), ".xml"), d, runs, runtime.GOMAXPROCS(0), level, model)
+				if err != nil {
+					return err
+				}
+				days, all = append(days, d), append(all, f)
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "%-20s %9s %7s %15s %9s %8s %8s\n", "DAY", "SIMULATED", "SD", fmt.Sprintf("%.0f%% BARS", 100*level), "WORST10S", "BREACHES", "SOCKETS")
+			var pairs []forecast.Pair
+			ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop()
+			held := 0
+			for i, f := range all {
+				fmt.Fprintf(out, "%-20s %9.4f %7.4f %7.4f-%.4f %9.3f %8d", f.Day, f.Mean, f.SD, f.Low, f.High, f.Worst, f.Rules)
+				if real {
+					rep, err := onSockets(ctx, days[i])
+					if err != nil {
+						return err
+					}
+					pairs = append(pairs, forecast.Pair{Forecast: f, Real: rep.Service})
+					mark := "missed"
+					if f.Holds(rep.Service) {
+						held++
+						mark = "held"
+					}
+					fmt.Fprintf(out, " %8.4f %s, %d breaches", rep.Service, mark, rep.Breaches())
+				}
+				fmt.Fprintln(out)
+			}
+			if real {
+				fmt.Fprintf(out, "%d of %d lie within their bars\n", held, len(all))
+			}
+			if fit {
+				m := forecast.Fit(pairs)
+				fmt.Fprintf(out, "fitted: --floor %.4f --part %.3f\n", m.Floor, m.Part)
+			}
+			if jsonFile == "" {
+				return nil
+			}
+			return writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, pairs) })
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&runs, "runs", runs, "simulated courses of each day")
+	f.Float64Var(&level, "level", level, "probability with which a run on sockets lies within the bars")
+	f.Float64Var(&model.Floor, "floor", 0.002, "standard deviation by which the emulator is off on any day")
+	f.Float64Var(&model.Part, "part", 0.1, "and as a part of what the day loses")
+	f.BoolVar(&real, "real", false, "play the days on sockets as well")
+	f.BoolVar(&fit, "fit", false, "with --real: find --floor and --part from these days")
+	f.StringVar(&jsonFile, "json", "", "write forecasts and real runs to this file")
+	return cmd
+}
+
+func writeJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func onSockets(ctx context.Context, d *scene.Day) (*day.Report, error) {
+	dir, err := os.MkdirTemp("", "brackenbend-day-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	return day.Run(ctx, d, day.Options{Binary: exe, Dir: dir})
+}
+
+// side reads one of the two things to compare: the module as it is, a simple way of deciding, or a settings file.
+func compareSide(what string, d *scene.Day, rules bool) (forecast.Side, error) {
+	o := fleet.Options{Audit: rules}
+	switch {
+	case what == "choice":
+	case slices.Contains(baseline.Ways, baseline.Way(what)):
+		o.Decider = func(s choice.Settings, seed uint64) (fleet.Decider, error) {
+			return baseline.New(baseline.Way(what), s, seed)
+		}
+	default:
+		set, err := config.Load(what)
+		if err != nil {
+			return forecast.Side{}, configError(err)
+		}
+		o.Settings = set
+	}
+	return forecast.Side{Name: what, Day: d, Make: func(seed uint64) fleet.Options {
+		o := o
+		o.Seed = seed
+		return o
+	}}, nil
+}
+
+func compareCommand() *cobra.Command {
+	var traffic, other, html, jsonFile string
+	r := forecast.Rules{Level: 0.95, Counts: 0.002, Batch: 8, Most: 64}
+	rules := true
+	cmd := &cobra.Command{
+		Use:   "compare A B",
+		Short: "Compare two ways of running the fronts on the same traffic, in simulated time",
+		Long: `Play a day many times, each time with other clients, the same on both sides, until the answer is clear: which of the two
+serves better, that no difference counts, or that it can't be told. A and B are each "choice" (the module with the day's
+settings), a settings file of fronts (classes, kinds and tenants named as the day's are), or, as a yardstick only, a simple
+way of deciding: random, fewest, two-choices. With --other the second plays another day file: other engines, other troubles.
+Bars are of the mean difference over paired courses (studentised bootstrap), at --level over all looks together.`,
+		Example: "  brackenbend compare choice random --traffic days/burst.xml\n  brackenbend compare now.xml next.xml --traffic days/mass-restart.xml --html report.html",
+		Args:    exactly(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if r.Batch < 3 || r.Most < r.Batch || r.Most > 10000 || !(r.Level > 0 && r.Level < 1) || r.Counts < 0 {
+				return coded{fmt.Errorf("--batch: 3 at least; --most: from --batch to 10000; --level: between 0 and 1; --counts: 0 or more"), exitUsage}
+			}
+			r.AtOnce = runtime.GOMAXPROCS(0)
+			var sides [2]forecast.Side
+			for i, what := range args {
+				file := traffic
+				if i == 1 && other != "" {
+					file = other
+				}
+				var from []string
+				if file != "" {
+					from = []string{file}
+				}
+				d, err := loadDay(from)
+				if err != nil {
+					return err
+				}
+				if sides[i], err = compareSide(what, d, rules); err != nil {
+					return err
+				}
+				if i == 1 && other != "" {
+					sides[i].Name += " on " + filepath.Base(other)
+				}
+			}
+			c, err := forecast.Compare(sides[0], sides[1], r)
+			if err != nil {
+				return err
+			}
+			if err := c.WriteText(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			if html != "" {
+				if err := writeFile(html, func(f *os.File) error { return c.WriteHTML(f) }); err != nil {
+					return err
+				}
+			}
+			if jsonFile != "" {
+				return writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, c) })
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&traffic, "traffic", "", "day file whose clients, engines and troubles both meet; none = the default bad day")
+	f.StringVar(&other, "other", "", "day file that the second plays instead, with the same clients")
+	f.StringVar(&html, "html", "", "write a page with plots")
+	f.StringVar(&jsonFile, "json", "", "write all figures")
+	f.Float64Var(&r.Level, "level", r.Level, "of the bars")
+	f.Float64Var(&r.Counts, "counts", r.Counts, "a difference of service below it does not count")
+	f.IntVar(&r.Batch, "batch", r.Batch, "courses between two looks")
+	f.IntVar(&r.Most, "most", r.Most, "courses in all")
+	f.BoolVar(&rules, "rules", rules, "judge the rules as well")
+	return cmd
+}
--- /dev/null
+++ b/internal/lab/baseline/baseline.go
@@ -0,0 +1,237 @@
+// Package baseline has simple ways of deciding for a front, for comparisons only: no front runs them. They take the same
+// events and give the same actions as package choice, keep the rules that a front alone can keep (one answer in time,
+// nothing that may have run again unless it is safe, drains, release) and know nothing of caps, prefixes, health or cold
+// engines.
+package baseline
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brackenbend/choice"
+)
+
+// Way is how an engine is picked.
+type Way string
+
+// The ways.
+const (
+	Random     Way = "random"      // any
+	Fewest     Way = "fewest"      // the one with the fewest own requests out
+	TwoChoices Way = "two-choices" // the better of two at random, by own requests out
+)
+
+// Ways are all of them.
+var Ways = []Way{Random, Fewest, TwoChoices}
+
+// Decider decides so for one front.
+type Decider struct {
+	way     Way
+	s       choice.Settings
+	rnd     *rand.Rand
+	now     time.Duration
+	servers []*server // in the order in which they were first named
+	byID    map[choice.ServerID]*server
+	open    map[choice.RequestID]*request
+	out     []choice.Action
+}
+
+type server struct {
+	id    choice.ServerID
+	role  choice.Role
+	ready bool
+	out   int
+}
+
+type request struct {
+	ev       choice.Request
+	sends    int
+	tries    int     // sends less reads that went well
+	at       *server // of the attempt that is out; nil = none is
+	read     bool    // a state waits
+	ran      bool    // an attempt may have run
+	answered bool
+}
+
+// New makes one.
+func New(way Way, s choice.Settings, seed uint64) (*Decider, error) {
+	if !slices.Contains(Ways, way) {
+		return nil, fmt.Errorf("baseline: no way %q: %v", way, Ways)
+	}
+	if err := s.Validate(); err != nil {
+		return nil, err
+	}
+	if s.MaxAttempts == 0 {
+		s.MaxAttempts = 2
+	}
+	return &Decider{way: way, s: s, rnd: rand.New(rand.NewPCG(seed, 77)), byID: map[choice.ServerID]*server{}, open: map[choice.RequestID]*request{}}, nil
+}
+
+// Step takes what happened and gives what is to be done.
+func (d *Decider) Step(now time.Duration, events []choice.Event) []choice.Action {
+	d.now, d.out = now, nil
+	for _, ev := range events {
+		switch ev := ev.(type) {
+		case choice.ServerList:
+			d.list(ev)
+		case choice.Request:
+			r := &request{ev: ev}
+			d.open[ev.ID] = r
+			if ev.Doubtful && d.s.Classes[ev.Class].Effect == choice.Unsafe {
+				d.fail(r, true)
+				break
+			}
+			d.act(choice.Wake{After: ev.Due - now, Tag: uint64(ev.ID)})
+			d.place(r)
+		case choice.Outcome:
+			d.outcome(ev)
+		case choice.ClientGone:
+			if r := d.open[ev.Request]; r != nil {
+				d.end(r)
+			}
+		case choice.Timer:
+			if r := d.open[choice.RequestID(ev.Tag)]; r != nil && !r.answered {
+				d.fail(r, false)
+			}
+		case choice.First:
+			if r := d.open[ev.Request]; r != nil {
+				r.answered = true // the stream is the answer
+			}
+		}
+	}
+	return d.out
+}
+
+func (d *Decider) act(a choice.Action) { d.out = append(d.out, a) }
+
+func (d *Decider) list(ev choice.ServerList) {
+	if ev.Scope == choice.Failed {
+		return
+	}
+	if ev.Scope != choice.Changes {
+		for _, s := range d.servers {
+			s.ready = false
+		}
+	}
+	for _, l := range ev.Servers {
+		s := d.byID[l.ID]
+		if s == nil {
+			s = &server{id: l.ID}
+			d.byID[l.ID] = s
+			d.servers = append(d.servers, s)
+		}
+		s.role, s.ready = d.s.Kinds[l.Kind].Role, l.State == choice.Ready
+	}
+}
+
+// pick chooses among the ready servers of a stage.
+func (d *Decider) pick(write bool) *server {
+	var all []*server
+	for _, s := range d.servers {
+		if s.ready && (s.role == choice.Mixed && !write || s.role == choice.Writer && write || s.role == choice.Reader && !write) {
+			all = append(all, s)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	best := all[d.rnd.IntN(len(all))]
+	switch d.way {
+	case TwoChoices:
+		if o := all[d.rnd.IntN(len(all))]; o.out < best.out {
+			best = o
+		}
+	case Fewest:
+		for _, s := range all {
+			if s.out < best.out {
+				best = s
+			}
+		}
+	}
+	return best
+}
+
+// place sends a request on to its next stage.
+func (d *Decider) place(r *request) {
+	s := d.pick(r.read)
+	if s == nil || r.tries >= d.s.MaxAttempts {
+		d.giveUp(r)
+		return
+	}
+	r.sends++
+	r.tries++
+	r.at = s
+	s.out++
+	d.act(choice.Send{Request: r.ev.ID, Server: s.id})
+}
+
+// giveUp refuses what surely has not run, and fails the rest.
+func (d *Decider) giveUp(r *request) {
+	class := &d.s.Classes[r.ev.Class]
+	if r.ran && class.Effect != choice.Safe {
+		d.fail(r, false)
+		return
+	}
+	r.answered = true
+	d.act(choice.Refuse{Request: r.ev.ID, Wait: time.Second, HandUp: class.Effect == choice.Unsafe})
+	d.end(r)
+}
+
+func (d *Decider) fail(r *request, earlier bool) {
+	r.answered = true
+	d.act(choice.Fail{Request: r.ev.ID, Earlier: earlier})
+	d.end(r)
+}
+
+// end calls off what is out and lets go of what waits.
+func (d *Decider) end(r *request) {
+	r.answered = true
+	if r.at != nil {
+		d.act(choice.Cancel{Request: r.ev.ID, Attempt: r.sends - 1})
+	}
+	d.act(choice.Release{Request: r.ev.ID})
+	if r.at == nil {
+		delete(d.open, r.ev.ID)
+	}
+}
+
+func (d *Decider) outcome(ev choice.Outcome) {
+	r := d.open[ev.Request]
+	if r == nil || r.at == nil {
+		return
+	}
+	s := r.at
+	s.out--
+	r.at = nil
+	if ev.Over || r.answered {
+		r.answered = true
+		d.act(choice.Release{Request: ev.Request})
+		delete(d.open, ev.Request)
+		return
+	}
+	never := ev.Result == choice.Turned || ev.Result == choice.ConnectFailed || ev.Result == choice.NotSent
+	switch {
+	case ev.Result == choice.ReadDone:
+		r.read = true
+		r.tries-- // the read is no try of the whole
+		d.place(r)
+		return
+	case s.role != choice.Reader && !never: // reading has no effect
+		r.ran = true
+	}
+	if ev.NoState || s.role == choice.Reader {
+		r.read = false
+		d.act(choice.Release{Request: ev.Request})
+	}
+	if r.ran && d.s.Classes[r.ev.Class].Effect != choice.Safe {
+		d.fail(r, false)
+		return
+	}
+	if s.role != choice.Reader {
+		r.read = false // the state was fetched, or went with its writer
+		d.act(choice.Release{Request: ev.Request})
+	}
+	d.place(r)
+}
--- /dev/null
+++ b/internal/lab/baseline/baseline_test.go
@@ -0,0 +1,38 @@
+package baseline_test
+
+import (
+	"testing"
+
+	"brackenbend/choice"
+	"brackenbend/internal/lab/baseline"
+	"brackenbend/internal/lab/fleet"
+	"brackenbend/internal/lab/scene"
+)
+
+// TestBaselinesKeepWhatAFrontAloneCan: on the bad day they answer once and in time, run nothing twice, keep drains and let
+// go of states; of cold engines they know nothing.
+func TestBaselinesKeepWhatAFrontAloneCan(t *testing.T) {
+	d, err := scene.Default()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, way := range baseline.Ways {
+		r, err := fleet.Run(d, fleet.Options{Seed: 2, Audit: true, Decider: func(s choice.Settings, seed uint64) (fleet.Decider, error) {
+			return baseline.New(way, s, seed)
+		}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, v := range r.Rules {
+			if i != 3 && (v.Checks == 0 || len(v.Breaches) > 0) {
+				t.Errorf("%s: %s: %d checks, %.300v", way, v.Rule, v.Checks, v.Breaches)
+			}
+		}
+		if s := r.Score.Service(); s < 0.5 {
+			t.Errorf("%s: service %.3f", way, s)
+		}
+	}
+	if _, err := baseline.New("guess", choice.Settings{}, 1); err == nil {
+		t.Error("an unknown way was taken")
+	}
+}
--- a/internal/lab/chart/chart.go
+++ b/internal/lab/chart/chart.go
@@ -2,6 +2,7 @@
 package chart
 
 import (
+	"bytes"
 	"image/color"
 	"math"
 
@@ -21,6 +22,37 @@
 
 // Save draws lines into a file whose ending names the format (svg, png, pdf).
 func Save(path, title, x, y string, lines ...Line) error {
+	p, err := draw(title, x, y, lines)
+	if err != nil {
+		return err
+	}
+	return p.Save(width, height, path)
+}
+
+// SVG draws lines for a page.
+func SVG(title, x, y string, lines ...Line) ([]byte, error) {
+	p, err := draw(title, x, y, lines)
+	if err != nil {
+		return nil, err
+	}
+	w, err := p.WriterTo(width, height, "svg")
+	if err != nil {
+		return nil, err
+	}
+	var b bytes.Buffer
+	if _, err := w.WriteTo(&b); err != nil {
+		return nil, err
+	}
+	text := b.Bytes()
+	if i := bytes.Index(text, []byte("<svg")); i > 0 { // a page has no use for the XML head
+		text = text[i:]
+	}
+	return text, nil
+}
+
+const width, height = 18 * vg.Centimeter, 9 * vg.Centimeter
+
+func draw(title, x, y string, lines []Line) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = title, x, y
 	p.Legend.Top = true
@@ -31,7 +63,7 @@
 		for _, pts := range pieces(l) {
 			line, err := plotter.NewLine(pts)
 			if err != nil {
-				return err
+				return nil, err
 			}
 			line.Color = colour
 			p.Add(line)
@@ -41,7 +73,7 @@
 			}
 		}
 	}
-	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, path)
+	return p, nil
 }
 
 // pieces cuts a line at its gaps.
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -157,7 +158,6 @@
 	}
 	c.tries[x.n] = x
 	front := c.f.fronts[x.front]
-	c.record(c.now(), audit.Event{Kind: audit.Sent, Try: x.id, Effect: intent, Class: w.effect, Front: front.name, Until: c.now() + class.Deadline})
 	c.send(front.id, 3*c.f.hop(c.rnd), asks{x.n, tr, s.Stream, class.Deadline, w})
 	end := class.Deadline
 	if s.HangUp > 0 {
@@ -166,6 +166,14 @@
 	c.later(end, giveUp{x.n})
 }
 
+// taken records a try that a front took; one that met no front was never sent.
+func (c *clients) taken(x *try) {
+	class := &c.f.d.Classes[x.t.s.Class]
+	intent, _, _ := strings.Cut(x.id, "/")
+	c.record(x.sent, audit.Event{Kind: audit.Sent, Try: x.id, Effect: intent, Class: audit.Class(class.Effect), Front: c.f.fronts[x.front].name,
+		Until: x.sent + class.Deadline})
+}
+
 // gaveUp is the end of the time that a client waits.
 func (c *clients) gaveUp(n uint64) {
 	x := c.tries[n]
@@ -202,6 +210,9 @@
 
 func (c *clients) ended(x *try, m answers) {
 	delete(c.tries, x.n)
+	if m.kind != "unconnected" {
+		c.taken(x)
+	}
 	t := x.t
 	again, pause := t.s.After(m.kind, m.handUp, m.wait, c.now()-t.asked)
 	if again {
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -34,6 +35,8 @@
 	Jitter time.Duration // mean of what is added to it by chance; 0 = 50 us
 	Shards int           // parts that are played side by side; the result is the same; 0 = 1
 	Audit  bool          // judge the rules, which keeps a record of all that passes
+	// Settings are the fronts', in place of those that the day makes; kinds and classes must have the day's names.
+	Settings *config.Settings
 	// Decider makes what decides for a front; nil = choice.New.
 	Decider func(s choice.Settings, seed uint64) (Decider, error)
 }
@@ -62,6 +65,12 @@
 	if f.set, err = d.Settings(0); err != nil {
 		return nil, err
 	}
+	if o.Settings != nil {
+		if err := sameNames(f.set, o.Settings); err != nil {
+			return nil, err
+		}
+		f.set = o.Settings
+	}
 	f.cs = f.set.Choice()
 	f.clients = newClients(f)
 	f.k.add(f.clients)
@@ -92,6 +101,33 @@
 	return f.result(), nil
 }
 
+// sameNames tells how other settings don't fit a day.
+func sameNames(day, other *config.Settings) error {
+	names := func(s *config.Settings) (classes, kinds, tenants []string) {
+		for _, c := range s.Classes {
+			classes = append(classes, c.Name)
+		}
+		for _, k := range s.Kinds {
+			kinds = append(kinds, k.Name)
+		}
+		for _, t := range s.Tenants {
+			tenants = append(tenants, t.Name)
+		}
+		return classes, kinds, tenants
+	}
+	c1, k1, t1 := names(day)
+	c2, k2, t2 := names(other)
+	for _, x := range []struct {
+		what string
+		a, b []string
+	}{{"classes", c1, c2}, {"kinds of engine", k1, k2}, {"tenants", t1, t2}} {
+		if !slices.Equal(x.a, x.b) {
+			return fmt.Errorf("fleet: the settings' %s are %v, the day's are %v, in this order", x.what, x.b, x.a)
+		}
+	}
+	return nil
+}
+
 type fleet struct {
 	d        *scene.Day
 	o        Options
@@ -114,6 +150,9 @@
 
 func (f *fleet) result() *Result {
 	r := &Result{Score: f.clients.score, Attempts: map[string]int{}, LeftOut: f.register.leftOut}
+	for _, n := range slices.Sorted(maps.Keys(f.clients.tries)) {
+		f.clients.taken(f.clients.tries[n])
+	}
 	var events []audit.Event
 	events = append(append(events, f.clients.log...), f.register.log...)
 	for _, e := range f.engines {
--- /dev/null
+++ b/internal/lab/forecast/forecast_test.go
@@ -0,0 +1,154 @@
+package forecast
+
+import (
+	"math"
+	"math/rand/v2"
+	"strings"
+	"testing"
+
+	"brackenbend/choice"
+	"brackenbend/internal/lab/baseline"
+	"brackenbend/internal/lab/fleet"
+	"brackenbend/internal/lab/scene"
+)
+
+// small is a quick day in which engines die.
+func small(t *testing.T, rate string) *scene.Day {
+	t.Helper()
+	d, err := scene.Parse("x.xml", []byte(strings.Replace(`<day length="6s" rate="RATE" fronts="2" seed="3">
+  <service max-attempts="3" release-within="500ms" drain-grace="500ms" cold-from="0.25" cold-for="1s" overload-factor="4" tip-after="2s" cancel="true"/>
+  <engines kind="r" role="reader" count="2" slots="4" queue="8" memory="100000tokens" read-rate="20000/s"/>
+  <engines kind="w" role="writer" count="3" slots="8" queue="8" memory="100000tokens" read-rate="5000/s" step="10ms" fetch-rate="250000/s"/>
+  <class name="c" effect="unsafe" share="1" aim="500ms" deadline="3s" prompt="400tokens" answer="30tokens"/>
+  <happen at="2s" what="crash" kind="w" for="1s"/></day>`, "RATE", rate, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+func side(name string, d *scene.Day, way baseline.Way) Side {
+	return Side{name, d, func(seed uint64) fleet.Options {
+		o := fleet.Options{Seed: seed}
+		if way != "" {
+			o.Decider = func(s choice.Settings, seed uint64) (fleet.Decider, error) { return baseline.New(way, s, seed) }
+		}
+		return o
+	}}
+}
+
+// TestAThingAgainstItself: with other chances on the two sides, a difference is found no more often than is stated.
+func TestAThingAgainstItself(t *testing.T) {
+	d := small(t, "60/s")
+	found, told := 0, 0
+	const trials = 40
+	for trial := range trials {
+		a, b := side("a", d, ""), side("a again", d, "")
+		shift := uint64(1000 * (trial + 1))
+		a.Make = func(seed uint64) fleet.Options { return fleet.Options{Seed: seed + shift} }
+		b.Make = func(seed uint64) fleet.Options { return fleet.Options{Seed: seed + shift + 500} }
+		c, err := Compare(a, b, Rules{Level: 0.95, Counts: 0, Batch: 6, Most: 12, AtOnce: 4})
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch c.Verdict {
+		case FirstBetter, SecondBetter:
+			found++
+		case CantTell:
+			told++
+		}
+	}
+	if found > 6 { // of 40 at 5%: more than 6 has a chance of 0.4%
+		t.Errorf("a difference between a thing and itself in %d of %d trials", found, trials)
+	}
+	if found+told == 0 {
+		t.Error("never undecided where nothing counts as no difference: the bars can't be right")
+	}
+	same, err := Compare(side("a", d, ""), side("a", d, ""), Rules{Level: 0.95, Counts: 0.001, Batch: 4, Most: 12, AtOnce: 4})
+	if err != nil || same.Verdict != NoDifference || same.Mean != 0 || same.Looks != 1 {
+		t.Errorf("with the same chances: %+v %v", same, err)
+	}
+}
+
+// TestAClearDifferenceIsFoundSoon: half the traffic, or random choice where engines fill up.
+func TestAClearDifferenceIsFoundSoon(t *testing.T) {
+	c, err := Compare(side("random", small(t, "110/s"), baseline.Random), side("choice", small(t, "110/s"), ""), Rules{Level: 0.95, Counts: 0.005, Batch: 6, Most: 36, AtOnce: 4})
+	if err != nil || c.Verdict != SecondBetter || c.Low <= 0.005 || len(c.Diffs) >= 36 {
+		t.Errorf("%+v %v", c, err)
+	}
+	other := small(t, "60/s")
+	other.Length *= 2
+	if _, err := Compare(side("a", small(t, "60/s"), ""), side("b", other, ""), Rules{Level: 0.95, Batch: 4, Most: 4}); err == nil {
+		t.Error("days of different lengths were compared")
+	}
+}
+
+// TestBootstrapHoldsItsLevel: bars at 95% hold the mean of skewed draws nearly as often, with few of them.
+func TestBootstrapHoldsItsLevel(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(5, 5))
+	held := 0
+	const trials = 600
+	for range trials {
+		v := make([]float64, 12)
+		for i := range v {
+			v[i] = rnd.ExpFloat64()
+		}
+		if low, high := Bootstrap(v, 0.95, 600); low <= 1 && high >= 1 {
+			held++
+		}
+	}
+	if part := float64(held) / trials; part < 0.91 || part > 0.985 {
+		t.Errorf("bars at 95%% held the mean in %.3f of trials", part)
+	}
+	if low, high := Bootstrap([]float64{0, 0, 0, 0}, 0.95, 100); low != 0 || high != 0 {
+		t.Errorf("no spread: %v %v", low, high)
+	}
+	if low, high := Bootstrap([]float64{1, 2}, 0.95, 100); !math.IsInf(low, -1) || !math.IsInf(high, 1) {
+		t.Errorf("two values: %v %v", low, high)
+	}
+}
+
+// TestBarsOfADayThatTipsOrDoesNot span both ends.
+func TestBarsOfADayThatTipsOrDoesNot(t *testing.T) {
+	f := &Forecast{Level: 0.95}
+	for i := range 20 {
+		f.Services = append(f.Services, 0.95-0.4*float64(i%2)+0.001*float64(i))
+	}
+	for _, v := range f.Services {
+		f.Mean += v / 20
+	}
+	f.bars(Model{Floor: leastFloor})
+	if !f.Holds(0.95) || !f.Holds(0.55) || f.High > 1 || f.Low < 0 {
+		t.Errorf("%+v", f)
+	}
+	if !heaps(f.Services) {
+		t.Error("two heaps were not seen")
+	}
+	if heaps([]float64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10}) {
+		t.Error("even values were taken for two heaps")
+	}
+}
+
+// TestFit: days that are off by a tenth of their loss give a model whose bars hold the next such day, and days that are
+// right give narrow bars.
+func TestFit(t *testing.T) {
+	var off, right []Pair
+	for i, mean := range []float64{0.8, 0.9, 0.95, 0.7} {
+		f := &Forecast{Mean: mean, SD: 0.001}
+		off = append(off, Pair{f, mean + float64(1-2*(i%2))*0.1*(1-mean)})
+		right = append(right, Pair{f, mean})
+	}
+	if m := Fit(off); math.Abs(m.Part-0.1) > 0.01 {
+		t.Errorf("%+v", m)
+	}
+	if m := Fit(right); m.Part != 0 || m.Floor != leastFloor {
+		t.Errorf("%+v", m)
+	}
+	f, err := Predict("x", small(t, "60/s"), 8, 4, 0.95, Fit(off))
+	if err != nil || f.Low >= f.Mean || f.High <= f.Mean || f.Rules > 0 {
+		t.Errorf("%+v %v", f, err)
+	}
+	if _, err := Predict("x", small(t, "60/s"), 2, 1, 0.95, Model{}); err == nil {
+		t.Error("error bars from two runs")
+	}
+}
