--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -70,6 +70,41 @@
 	}
 }
 
+// TestAllFrontsDieWhileRolesChange: a day on which all fronts are killed right after engines were told to change, with the
+// register cut off the second time.
+func TestAllFrontsDieWhileRolesChange(t *testing.T) {
+	d, err := scene.Load("../../days/roles-restart.xml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Rate = 20
+	rep := play(t, d, 15*time.Second)
+	if rep.Breaches() > 0 {
+		t.Errorf("%d breaches", rep.Breaches())
+	}
+	kills, changing := 0, 0
+	for _, e := range rep.Events {
+		if e.Kind == audit.FrontKill {
+			kills++
+		}
+	}
+	for _, s := range rep.Roles {
+		changing = max(changing, s.Changing)
+	}
+	if last := rep.Roles[len(rep.Roles)-1]; kills != 8 || last.Orders < 4 || changing == 0 || last.Changing > 0 {
+		t.Errorf("%d fronts killed, %d engines seen on their way, at the end %+v", kills, changing, last)
+	}
+	dir := t.TempDir()
+	if err := rep.Plot(dir); err != nil {
+		t.Error(err)
+	}
+	for _, name := range []string{"service.svg", "roles.svg"} {
+		if text, err := os.ReadFile(filepath.Join(dir, name)); err != nil || !bytes.Contains(text, []byte("<svg")) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
 func TestDayFilesAreInOrder(t *testing.T) {
 	files, err := filepath.Glob("../../days/*.xml")
 	if err != nil || len(files) == 0 {
@@ -101,6 +136,12 @@
 		{[]string{"serve", "--nonsense"}, exitUsage},
 		{[]string{"day", bad}, exitConfig},
 		{[]string{"engine", "--role", "cook"}, exitUsage},
+		{[]string{"lab", "day", "../../days/stall.xml", "--seconds", "5"}, 0},
+		{[]string{"lab", "day", bad}, exitConfig},
+		{[]string{"lab", "forecast", "../../days/stall.xml", "--runs", "2"}, exitUsage},
+		{[]string{"compare", "choice", "choice", "--traffic", "../../days/stall.xml", "--batch", "3", "--most", "3", "--html", filepath.Join(t.TempDir(), "x.html")}, 0},
+		{[]string{"compare", "choice", bad}, exitConfig},
+		{[]string{"compare", "choice", "../../deploy/examples/front.xml"}, exitFailure}, // other classes than the day's
 	} {
 		cmd := exec.Command(os.Args[0], c.args...)
 		cmd.Env = append(os.Environ(), asMain...)
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -73,11 +73,19 @@
 // NewRecord begins a record now.
 func NewRecord() *Record { return &Record{start: time.Now()} }
 
-// Now is the record's time.
-func (r *Record) Now() time.Duration { return time.Since(r.start) }
+// Now is the record's time; 0 for a nil record, which keeps nothing.
+func (r *Record) Now() time.Duration {
+	if r == nil {
+		return 0
+	}
+	return time.Since(r.start)
+}
 
 // Add stamps and keeps an event.
 func (r *Record) Add(e Event) {
+	if r == nil {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e.At = time.Since(r.start)
--- a/internal/lab/scene/clients.go
+++ b/internal/lab/scene/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -138,6 +139,16 @@
 	return 8 * int(math.Ceil(t.Tokens/2))
 }
 
+// Words is the text itself.
+func (t Text) Words() string {
+	rnd := rand.New(rand.NewPCG(t.Seed[0], t.Seed[1]))
+	b := make([]byte, 0, t.Bytes())
+	for len(b) < t.Bytes() {
+		b = fmt.Appendf(b, "%07x ", rnd.Uint32()>>4)
+	}
+	return string(b)
+}
+
 // Session is one client's conversation, with draws of its own, so that what others do changes nothing in it. A client
 // takes its turns one after the other; each is one request, with its retries.
 type Session struct {
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -35,6 +36,8 @@
 	SlowBy     time.Duration // pause after each read of a stream
 	Marked     bool          // numbers its tries as the published SDKs do
 	Repeats    int           // tries before this one
+	Model      string        // "" = day
+	Token      func()        // called for each token of a stream as it comes; may be nil
 }
 
 // Result is how a try ended.
@@ -59,7 +62,7 @@
 	for i, s := range t.Turns {
 		ms = append(ms, message{[]string{"user", "assistant"}[i%2], s})
 	}
-	b, err := json.Marshal(map[string]any{"model": "day", "stream": t.Stream, "max_tokens": t.MaxTokens, "messages": ms,
+	b, err := json.Marshal(map[string]any{"model": cmp.Or(t.Model, "day"), "stream": t.Stream, "max_tokens": t.MaxTokens, "messages": ms,
 		"metadata": map[string]string{"try": t.ID, "effect": t.Effect, "kind": string(t.Class), "class": t.ClassName, "answer": strconv.Itoa(t.Answer)}})
 	if err != nil {
 		panic(err)
@@ -67,7 +70,7 @@
 	return b
 }
 
-// Do sends the try to a front and follows it to its end.
+// Do sends the try to a front and follows it to its end. rec may be nil.
 func Do(t *Try, front, addr string, rec *audit.Record) Result {
 	began := time.Now()
 	nc, err := net.DialTimeout("tcp", addr, 2*time.Second)
@@ -179,6 +182,9 @@
 				res.First = time.Since(began)
 			}
 			res.Tokens++
+			if t.Token != nil {
+				t.Token()
+			}
 		}
 		if t.SlowBy > 0 && ok {
 			time.Sleep(t.SlowBy)
