Recorded traffic: a format, fronts' logs made into it, replay, scaling, fitting

Need: comparisons on the traffic that operators had, and on three times of it.

Measured: cut at every byte, all that was flushed is read; a recording of synthetic clients gives their figures back within 10 to 15%.

--- a/cmd/brackenbend/lab_day.go
+++ b/cmd/brackenbend/lab_day.go
@@ -29,6 +29,7 @@
 func labDayCommand() *cobra.Command {
 	var seconds float64
 	var seed uint64
+	var rec recording
 	rules, shards := true, 1
 	cmd := &cobra.Command{
 		Use:   "day [FILE]",
@@ -48,11 +49,15 @@
 					return coded{err, exitUsage}
 				}
 			}
+			traffic, err := rec.load(d)
+			if err != nil {
+				return err
+			}
 			if shards < 1 || shards > 64 {
 				return coded{fmt.Errorf("--shards: 1 to 64"), exitUsage}
 			}
 			began := time.Now()
-			r, err := fleet.Run(d, fleet.Options{Seed: seed, Audit: rules, Shards: shards})
+			r, err := fleet.Run(d, fleet.Options{Seed: seed, Audit: rules, Shards: shards, Traffic: traffic})
 			if err != nil {
 				return err
 			}
@@ -98,6 +103,7 @@
 	f := cmd.Flags()
 	f.Float64Var(&seconds, "seconds", 0, "scale the day to last so long")
 	f.Uint64Var(&seed, "seed", 0, "of everything but the clients' draws, which are the day's")
+	rec.flags(f)
 	f.BoolVar(&rules, "rules", true, "judge the rules, which keeps all that passed in memory")
 	f.IntVar(&shards, "shards", 1, "parts of the fleet played side by side; the result is the same")
 	return cmd
--- a/cmd/brackenbend/lab_forecast.go
+++ b/cmd/brackenbend/lab_forecast.go
@@ -120,9 +120,9 @@
 	return day.Run(ctx, d, day.Options{Binary: exe, Dir: dir})
 }
 
-// side reads one of the two things to compare: the module as it is, a simple way of deciding, or a settings file.
-func compareSide(what string, d *scene.Day, rules bool) (forecast.Side, error) {
-	o := fleet.Options{Audit: rules}
+// compareSide reads one of the two things to compare: the module as it is, a simple way of deciding, or a settings file.
+func compareSide(what string, d *scene.Day, recorded []scene.Recorded, rules bool) (forecast.Side, error) {
+	o := fleet.Options{Audit: rules, Traffic: recorded}
 	switch {
 	case what == "choice":
 	case slices.Contains(baseline.Ways, baseline.Way(what)):
@@ -145,6 +145,7 @@
 
 func compareCommand() *cobra.Command {
 	var traffic, other, html, jsonFile string
+	var rec recording
 	r := forecast.Rules{Level: 0.95, Counts: 0.002, Batch: 8, Most: 64}
 	rules := true
 	cmd := &cobra.Command{
@@ -176,7 +177,11 @@
 				if err != nil {
 					return err
 				}
-				if sides[i], err = compareSide(what, d, rules); err != nil {
+				recorded, err := rec.load(d)
+				if err != nil {
+					return err
+				}
+				if sides[i], err = compareSide(what, d, recorded, rules); err != nil {
 					return err
 				}
 				if i == 1 && other != "" {
@@ -203,6 +208,7 @@
 	}
 	f := cmd.Flags()
 	f.StringVar(&traffic, "traffic", "", "day file whose clients, engines and troubles both meet; none = the default bad day")
+	rec.flags(f)
 	f.StringVar(&other, "other", "", "day file that the second plays instead, with the same clients")
 	f.StringVar(&html, "html", "", "write a page with plots")
 	f.StringVar(&jsonFile, "json", "", "write all figures")
--- a/internal/day/traffic.go
+++ b/internal/day/traffic.go
@@ -62,7 +62,7 @@
 func (t *traffic) converse(s *scene.Session) {
 	d := t.r.d
 	c := &d.Classes[s.Class]
-	try := client.Try{Class: audit.Class(c.Effect), ClassName: c.Name, Session: fmt.Sprintf("s%d", s.ID), MaxTokens: int(c.Answer) * 3,
+	try := client.Try{Class: audit.Class(c.Effect), ClassName: c.Name, Session: s.Key, MaxTokens: int(c.Answer) * 3,
 		Stream: s.Stream, Wait: c.Deadline, System: s.Beginning.Words()}
 	if s.Tenant >= 0 {
 		try.Tenant = d.Tenants[s.Tenant].Name
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -65,6 +65,7 @@
 	Kept    float64
 	Report  []float64
 	KV      json.RawMessage // of a read: what the writer needs to fetch the state
+	Events  int             // of a stream, that were tokens by their place; the last event is none
 	Reply   *Reply          // an answer about the request itself, to be passed on
 	Err     error           // for logs
 }
@@ -91,6 +92,7 @@
 	stop  context.CancelFunc
 	conn  net.Conn
 	begun bool // the stream has begun
+	seen  int  // its events
 	sent  bool // a byte of the request was accepted
 }
 
@@ -289,6 +291,7 @@
 	var body http1.Body
 	body.Reset(k.br, &resp.Message, c.Limits)
 	out := c.relay(a, k, &body, sink)
+	out.Events = a.seen
 	out.Report = c.report(resp)
 	clean := out.Result == choice.Served && !resp.Close
 	if clean && !body.Done() { // the last chunk comes right behind the last event
@@ -383,6 +386,9 @@
 		if string(data) == sse.Done {
 			return from, end, &Outcome{Result: choice.Served}
 		}
+		if data != nil {
+			a.seen++
+		}
 	}
 }
 
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -44,6 +44,7 @@
 	done   chan struct{} // closed once the answer is set or the stream has ended
 	answer answer        // set before done is closed, by the owner of the answer
 	result string        // for the log, as answer
+	events atomic.Int64  // of the stream
 	first  atomic.Int64  // nanoseconds from taken to the first token
 
 	mu       sync.Mutex
@@ -215,6 +216,7 @@
 	if !a.owns {
 		return false
 	}
+	fl.events.Store(int64(out.Events))
 	if fl.whole != nil {
 		body, err := fl.whole.JSON()
 		if out.Result != choice.Served || err != nil {
@@ -389,5 +391,16 @@
 	fl.mu.Unlock()
 	ce.Write(zap.String("id", f.wideID(fl.id, 0)), zap.String("class", fl.class.Name), zap.Int("status", fl.answer.status),
 		zap.Int("prompt_tokens", int(math.Round(fl.traits.PromptLen))), zap.Duration("first_token", time.Duration(fl.first.Load())),
-		zap.Duration("took", time.Since(fl.taken)), zap.Strings("attempts", trail))
+		zap.Duration("took", time.Since(fl.taken)), zap.Strings("attempts", trail),
+		zap.String("tenant", f.tenant(fl.traits.Tenant)), zap.String("session", strconv.FormatUint(fl.traits.Session, 16)),
+		zap.String("prefix", prefixName(fl.traits.Prefix)), zap.Int("prefix_tokens", int(math.Round(fl.traits.PrefixLen))),
+		zap.Int("max_out", int(fl.traits.MaxOut)), zap.Int64("events", fl.events.Load()), zap.Bool("stream", fl.whole == nil))
+}
+
+// prefixName is how a shared beginning goes by in the log; "" = none.
+func prefixName(prefix uint64) string {
+	if prefix == 0 {
+		return ""
+	}
+	return strconv.FormatUint(prefix, 16)
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -200,3 +200,10 @@
 	b = strconv.AppendUint(append(b, '-'), uint64(id), 16)
 	return string(strconv.AppendInt(append(b, '-'), int64(attempt), 10))
 }
+
+func (f *Front) tenant(i int) string {
+	if i < len(f.set.Tenants) {
+		return f.set.Tenants[i].Name
+	}
+	return ""
+}
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -88,7 +88,11 @@
 )
 
 func newClients(f *fleet) *clients {
-	return &clients{f: f, rnd: f.rnd(1), arrivals: f.d.Arrivals(), mood: scene.Calm(), score: f.d.Score(), tries: map[uint64]*try{}, tap: tap{taped: f.o.Audit}}
+	arrivals := f.d.Arrivals()
+	if f.o.Traffic != nil {
+		arrivals = f.d.Replay(f.o.Traffic)
+	}
+	return &clients{f: f, rnd: f.rnd(1), arrivals: arrivals, mood: scene.Calm(), score: f.d.Score(), tries: map[uint64]*try{}, tap: tap{taped: f.o.Audit}}
 }
 
 // begin plans the happenings that are the clients' own, and the first session.
@@ -115,7 +119,7 @@
 		s := c.arrivals.Next(&c.mood)
 		c.later(c.arrivals.Gap(&c.mood), arrival{})
 		c.open++
-		c.request(&talk{s: s, name: "s" + strconv.FormatInt(s.ID, 10)})
+		c.request(&talk{s: s, name: s.Key})
 	case goOn:
 		c.ask(m.t)
 	case moods:
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -35,6 +35,8 @@
 	Jitter time.Duration // mean of what is added to it by chance; 0 = 50 us
 	Shards int           // parts that are played side by side; the result is the same; 0 = 1
 	Audit  bool          // judge the rules, which keeps a record of all that passes
+	// Traffic is played in place of the day's drawn sessions, where it is given.
+	Traffic []scene.Recorded
 	// Settings are the fronts', in place of those that the day makes; kinds and classes must have the day's names.
 	Settings *config.Settings
 	// Decider makes what decides for a front; nil = choice.New.
--- a/internal/lab/scene/clients.go
+++ b/internal/lab/scene/clients.go
@@ -78,6 +78,10 @@
 	rnd   *rand.Rand
 	turns float64
 	n     int64
+
+	replay bool
+	list   []Recorded    // that are to come
+	at     time.Duration // of the last
 }
 
 // Arrivals begins the day's course of sessions.
@@ -91,6 +95,9 @@
 
 // Gap is the time until the next session.
 func (a *Arrivals) Gap(m *Mood) time.Duration {
+	if a.replay {
+		return a.nextGap()
+	}
 	return time.Duration(a.rnd.ExpFloat64() / (float64(a.d.Rate) / a.turns * m.Surge) * float64(time.Second))
 }
 
@@ -98,7 +105,11 @@
 func (a *Arrivals) Next(m *Mood) *Session {
 	a.n++
 	seed := a.rnd.Uint64()
-	s := &Session{ID: a.n, d: a.d, seed: seed, rnd: rand.New(rand.NewPCG(seed, 3)), Tenant: -1}
+	s := &Session{ID: a.n, Key: fmt.Sprint("s", a.n), d: a.d, seed: seed, rnd: rand.New(rand.NewPCG(seed, 3)), Tenant: -1}
+	if a.replay {
+		a.nextRecorded(s, m)
+		return s
+	}
 	shares, all := make([]float64, len(a.d.Classes)), 0.0
 	for i, c := range a.d.Classes {
 		shares[i] = c.Share
@@ -153,7 +164,8 @@
 // takes its turns one after the other; each is one request, with its retries.
 type Session struct {
 	ID            int64
-	Class, Tenant int // Tenant is -1 where the day has none
+	Key           string // of the conversation, as servers see it
+	Class, Tenant int    // Tenant is -1 where the day has none
 	Stream        bool
 	Beginning     Text   // shared
 	Turns         []Text // of the client and the answers by turns
@@ -171,6 +183,7 @@
 	seed     uint64
 	rnd      *rand.Rand
 	connects int
+	single   bool // it has no further turn
 }
 
 func (s *Session) begin(m *Mood) {
@@ -249,7 +262,7 @@
 
 // More draws whether the conversation goes on after a request that ended so, and when.
 func (s *Session) More(kind string, dayOver bool, m *Mood) (more bool, pause time.Duration) {
-	if dayOver || kind != "served" || s.rnd.Float64()*s.d.Classes[s.Class].Turns < 1 || len(s.Turns) > 20 {
+	if s.single || dayOver || kind != "served" || s.rnd.Float64()*s.d.Classes[s.Class].Turns < 1 || len(s.Turns) > 20 {
 		return false, 0
 	}
 	s.say(float64(s.Answer))
--- /dev/null
+++ b/internal/lab/trace/trace_test.go
@@ -0,0 +1,312 @@
+package trace
+
+import (
+	"bytes"
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"brackenbend/internal/lab/fleet"
+	"brackenbend/internal/lab/scene"
+)
+
+var begin = time.Date(2026, 11, 2, 6, 0, 0, 0, time.UTC)
+
+func part(t *testing.T, w *bytes.Buffer, from time.Time, requests ...Request) {
+	t.Helper()
+	p, err := NewWriter(w, Header{Begin: from, Source: "front-1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range requests {
+		if err := p.Add(&requests[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := p.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func at(s float64) Request {
+	return Request{At: time.Duration(s * float64(time.Second)), Class: "c", Prompt: 100, Took: 100 * time.Millisecond, Result: "served", Out: 5}
+}
+
+func read(t *testing.T, b []byte) *Trace {
+	t.Helper()
+	tr, err := Read(bytes.NewReader(b))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tr
+}
+
+// TestPartsGapsAndSteps: a front that was restarted, a night, and a clock that was set back.
+func TestPartsGapsAndSteps(t *testing.T) {
+	var b bytes.Buffer
+	part(t, &b, begin, at(0), at(1), at(2), at(3))
+	part(t, &b, begin.Add(10*time.Second), at(0), at(1))
+	tr := read(t, b.Bytes())
+	if tr.Parts != 2 || len(tr.Requests) != 6 || tr.Requests[4].At != 10*time.Second || tr.Steps != 0 || len(tr.Gaps) != 0 {
+		t.Errorf("%+v", tr)
+	}
+	part(t, &b, begin.Add(10*time.Hour), at(0), at(1))
+	tr = read(t, b.Bytes())
+	if len(tr.Gaps) != 1 || tr.Gaps[0].To != 10*time.Hour || len(tr.Notes()) != 1 {
+		t.Errorf("%+v", tr.Gaps)
+	}
+	tr.CloseGaps()
+	if tr.Length() > time.Minute || len(tr.Gaps) != 0 {
+		t.Errorf("closed: %v", tr.Length())
+	}
+	b.Reset()
+	back := []Request{at(0), at(10), at(20), at(5), at(6)} // set back by 15 s after the third
+	part(t, &b, begin, back...)
+	part(t, &b, begin.Add(-time.Hour), at(0))
+	tr = read(t, b.Bytes())
+	if tr.Steps != 2 || tr.Length() < 20*time.Second || tr.Length() > time.Minute || tr.Requests[4].At-tr.Requests[3].At != time.Second {
+		t.Errorf("%d steps over %v: %+v", tr.Steps, tr.Length(), tr.Requests)
+	}
+	// requests end out of the order in which they began; that is no step
+	b.Reset()
+	long := at(0)
+	long.Took = 20 * time.Second
+	part(t, &b, begin, at(1), at(5), long, at(21))
+	if tr = read(t, b.Bytes()); tr.Steps != 0 || tr.Requests[0].Took != 20*time.Second {
+		t.Errorf("%+v", tr)
+	}
+}
+
+// TestTornAnywhere: cut at any byte, what was whole before is read, or the file is refused where not even its header is.
+func TestTornAnywhere(t *testing.T) {
+	var b bytes.Buffer
+	w, err := NewWriter(&b, Header{Begin: begin})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var flushed []int
+	for i := range 200 {
+		q := at(float64(i))
+		q.Session = fmt.Sprint("session ", i*7919)
+		if err := w.Add(&q); err != nil {
+			t.Fatal(err)
+		}
+		if i%20 == 19 {
+			if err := w.Flush(); err != nil {
+				t.Fatal(err)
+			}
+			flushed = append(flushed, b.Len())
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	whole := b.Bytes()
+	for cut := range whole {
+		tr, err := Read(bytes.NewReader(whole[:cut]))
+		least := 0
+		for i, at := range flushed {
+			if at <= cut {
+				least = 20 * (i + 1)
+			}
+		}
+		if err != nil {
+			if least > 0 {
+				t.Fatalf("cut at %d of %d: %v, %d requests were flushed", cut, len(whole), err, least)
+			}
+			continue
+		}
+		if len(tr.Requests) < least || !tr.Torn && len(tr.Requests) < 200 {
+			t.Fatalf("cut at %d of %d: %d requests, %d were flushed, torn %v", cut, len(whole), len(tr.Requests), least, tr.Torn)
+		}
+	}
+	if tr := read(t, whole); tr.Torn || len(tr.Requests) != 200 {
+		t.Errorf("whole: %+v", tr)
+	}
+}
+
+func TestWhatIsNoTrace(t *testing.T) {
+	var other, bad, line bytes.Buffer
+	part(t, &bad, begin, Request{Class: "", Prompt: 1})
+	part(t, &line, begin, Request{Class: "c", Prompt: 1, Session: strings.Repeat("x", 2*maxLine)})
+	w, _ := NewWriter(&other, Header{Begin: begin})
+	_ = w.enc.Encode(map[string]int{"trace": 9})
+	w.Close()
+	for name, b := range map[string][]byte{"nothing": nil, "text": []byte("hello\n"), "another version": other.Bytes(), "no class": bad.Bytes(), "long line": line.Bytes()} {
+		if _, err := Read(bytes.NewReader(b)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+func TestFromALog(t *testing.T) {
+	log := `starting up
+{"level":"info","ts":"2026-11-02T06:00:01.5Z","msg":"serving","listen":"x"}
+{"level":"info","ts":"2026-11-02T06:00:02.5Z","msg":"answer served","front":"front-1","class":"order","status":0,"prompt_tokens":120,"first_token":"200ms","took":"500ms","attempts":[],"tenant":"north","session":"ab","prefix":"cd","prefix_tokens":40,"max_out":90,"events":31,"stream":true}
+{"level":"info","ts":"2026-11-02T06:00:03Z","msg":"answer refused","front":"front-1","class":"order","prompt_tokens":10,"first_token":"0s","took":"10ms","tenant":"north","session":"0","events":0,"stream":false}
+`
+	var b bytes.Buffer
+	n, skipped, err := FromLog(strings.NewReader(log), &b)
+	if err != nil || n != 2 || skipped != 2 {
+		t.Fatalf("%d %d %v", n, skipped, err)
+	}
+	tr := read(t, b.Bytes())
+	want := Request{At: 0, Class: "order", Tenant: "north", Session: "ab", Prefix: "cd", Prompt: 120, PrefixLen: 40, MaxOut: 90, Out: 31, Stream: true,
+		Result: "served", First: 200 * time.Millisecond, Took: 500 * time.Millisecond}
+	if tr.Requests[0] != want || tr.Requests[1].At != 990*time.Millisecond || tr.Requests[1].Result != "refused" || !tr.Begin.Equal(begin.Add(2*time.Second)) {
+		t.Errorf("%+v", tr)
+	}
+	if _, _, err := FromLog(strings.NewReader("nothing\n"), &b); err == nil {
+		t.Error("a log without answers was taken")
+	}
+	if _, _, err := FromLog(strings.NewReader(strings.Replace(log, `"took":"500ms"`, `"took":"soon"`, 1)), &b); err == nil || !strings.Contains(err.Error(), "line 3") {
+		t.Errorf("a time that can't be read: %v", err)
+	}
+}
+
+const house = `<day length="60s" rate="40/s" fronts="2" seed="3">
+  <service max-attempts="3" release-within="500ms" drain-grace="500ms" cold-from="0.25" cold-for="1s" overload-factor="4" tip-after="2s" cancel="true"/>
+  <engines kind="r" role="reader" count="2" slots="4" queue="8" memory="100000tokens" read-rate="20000/s"/>
+  <engines kind="w" role="writer" count="3" slots="16" queue="8" memory="100000tokens" read-rate="5000/s" step="10ms" fetch-rate="250000/s"/>
+  <class name="a" effect="safe" share="0.6" aim="1s" deadline="5s" prompt="200tokens" beginning="800tokens" beginning-share="0.7" answer="30tokens" turns="2.5"/>
+  <class name="b" effect="unsafe" share="0.4" aim="1s" deadline="5s" prompt="500tokens" answer="15tokens" not-streamed-part="0.5"/></day>`
+
+// recordedHouse is what a front would have recorded of the house's own clients.
+func recordedHouse(t *testing.T) (*scene.Day, *Trace) {
+	t.Helper()
+	d, err := scene.Parse("house.xml", []byte(house))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	w, err := NewWriter(&b, Header{Begin: begin})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all []Request
+	a, calm, now := d.Arrivals(), scene.Calm(), time.Duration(0)
+	for now < d.Length {
+		now += a.Gap(&calm)
+		s := a.Next(&calm)
+		for at := now; ; {
+			bytes, beginning := s.PromptBytes()
+			q := Request{At: at, Class: d.Classes[s.Class].Name, Session: s.Key, Prompt: float64(bytes) / 4, PrefixLen: float64(beginning) / 4, Out: s.Answer,
+				Stream: s.Stream, Result: "served"}
+			if beginning > 0 {
+				q.Prefix = fmt.Sprint(s.Beginning.Seed)
+			}
+			all = append(all, q)
+			more, pause := s.More("served", false, &calm)
+			if !more {
+				break
+			}
+			at += pause
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Request) int { return cmp.Compare(a.At, b.At) })
+	for i := range all {
+		if err := w.Add(&all[i]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return d, read(t, b.Bytes())
+}
+
+// TestFitFindsWhatDrewIt: a recording of synthetic clients gives their figures back, and one of others is seen not to fit.
+func TestFitFindsWhatDrewIt(t *testing.T) {
+	d, tr := recordedHouse(t)
+	f, err := Fit(tr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	near := func(what string, got, want, by float64) {
+		if math.Abs(got-want) > by*want {
+			t.Errorf("%s: %v, want %v", what, got, want)
+		}
+	}
+	near("rate", f.Rate, 40, 0.15)
+	for i, c := range f.Classes {
+		k := d.Classes[i]
+		near(c.Name+" share", c.Share, k.Share, 0.1)
+		near(c.Name+" turns", c.Turns, k.Turns, 0.12)
+		near(c.Name+" prompt", c.Prompt, float64(k.Prompt), 0.1)
+		near(c.Name+" answer", c.Answer, float64(k.Answer), 0.1)
+		if c.PromptOff > 0.12 || c.AnswerOff > 0.12 {
+			t.Errorf("%s: off by %v and %v", c.Name, c.PromptOff, c.AnswerOff)
+		}
+	}
+	near("beginning", f.Classes[0].Beginning, 800, 0.05)
+	near("shared", f.Classes[0].Shared, 0.7, 0.1)
+	near("whole", f.Classes[1].Whole, 0.5, 0.15)
+	for i := range tr.Requests {
+		tr.Requests[i].Prompt *= math.Exp(2 * math.Sin(float64(i)))
+	}
+	if f, _ = Fit(tr); f.Classes[1].PromptOff < 0.15 {
+		t.Errorf("long tails fit: %v", f.Classes[1].PromptOff)
+	}
+	var text bytes.Buffer
+	if f.WriteText(&text) != nil || !strings.Contains(text.String(), `class name="b"`) {
+		t.Errorf("%s", text.String())
+	}
+	if err := f.Apply(d); err != nil || math.Abs(float64(d.Rate)-f.Rate) > 1e-9 {
+		t.Errorf("%v %v", d.Rate, err)
+	}
+	if _, err := Fit(&Trace{Requests: tr.Requests[:5]}); err == nil {
+		t.Error("five requests were fitted")
+	}
+}
+
+// TestReplay: recorded requests meet the fleet as they came, three times as many when asked, and two recordings together.
+func TestReplay(t *testing.T) {
+	d, tr := recordedHouse(t)
+	list, err := tr.Recorded(d)
+	if err != nil {
+		t.Fatal(err)
+	}
+	count := func(list []scene.Recorded) int {
+		r, err := fleet.Run(d, fleet.Options{Traffic: list, Audit: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		classes, _ := r.Score.Rows()
+		for _, c := range classes {
+			n += c.Requests
+		}
+		for _, v := range r.Rules {
+			if len(v.Breaches) > 0 {
+				t.Errorf("%s: %.200v", v.Rule, v.Breaches)
+			}
+		}
+		return n
+	}
+	within := 0
+	for _, q := range list {
+		if q.At <= d.Length {
+			within++
+		}
+	}
+	if n := count(list); n != within {
+		t.Errorf("%d requests were played, %d recorded in the day's time", n, within)
+	}
+	three := scene.Blend(1, [][]scene.Recorded{list}, []float64{3})
+	d.Length = three[len(three)-1].At
+	if n := count(three); n != 3*len(list) {
+		t.Errorf("three times: %d of %d", n, 3*len(list))
+	}
+	half := scene.Blend(1, [][]scene.Recorded{list, list}, []float64{1, 0.5})
+	if n := float64(len(half)) / float64(len(list)); n < 1.4 || n > 1.6 {
+		t.Errorf("one and a half: %v", n)
+	}
+	tr.Requests[3].Class = "unknown"
+	if _, err := tr.Recorded(d); err == nil || !strings.Contains(err.Error(), "unknown") {
+		t.Errorf("an unknown class: %v", err)
+	}
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -206,7 +206,7 @@
 // converse is one session; its first request should be sent at a time.
 func (r *run) converse(ctx context.Context, s *scene.Session, at time.Time) {
 	c := &r.p.Day.Classes[s.Class]
-	t := client.Try{Class: audit.Class(c.Effect), ClassName: c.Name, Session: fmt.Sprintf("s%d", s.ID), MaxTokens: int(c.Answer) * 3, Stream: s.Stream,
+	t := client.Try{Class: audit.Class(c.Effect), ClassName: c.Name, Session: s.Key, MaxTokens: int(c.Answer) * 3, Stream: s.Stream,
 		Wait: c.Deadline, System: s.Beginning.Words(), Model: r.p.Model}
 	if s.Tenant >= 0 {
 		t.Tenant = r.p.Day.Tenants[s.Tenant].Name
