--- a/cmd/brackenbend/lab_trace.go
+++ b/cmd/brackenbend/lab_trace.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/spf13/pflag"
@@ -30,6 +32,7 @@
 	}
 	var lists [][]scene.Recorded
 	var times []float64
+	var begins []time.Time
 	for _, arg := range r.files {
 		file, by, scaled := strings.Cut(arg, "@")
 		n := 1.0
@@ -48,8 +51,9 @@
 		if err != nil {
 			return nil, coded{fmt.Errorf("%s: %w", file, err), exitConfig}
 		}
-		lists, times = append(lists, list), append(times, n)
+		lists, times, begins = append(lists, list), append(times, n), append(begins, t.Begin)
 	}
+	together(lists, begins)
 	all := scene.Blend(r.seed, lists, times)
 	if len(all) == 0 {
 		return nil, coded{fmt.Errorf("--trace: no requests in %s", strings.Join(r.files, ", ")), exitConfig}
@@ -58,6 +62,19 @@
 	return all, nil
 }
 
+// together moves recordings of one time, as of several fronts, to where they stood beside each other; those that began
+// over a day after the first are played from their beginnings.
+func together(lists [][]scene.Recorded, begins []time.Time) {
+	first := slices.MinFunc(begins, time.Time.Compare)
+	for i, list := range lists {
+		if off := begins[i].Sub(first); off < 24*time.Hour {
+			for k := range list {
+				list[k].At += off
+			}
+		}
+	}
+}
+
 func readTrace(file string) (*trace.Trace, error) {
 	f, err := os.Open(file)
 	if err != nil {
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -4,12 +4,18 @@
 package scene
 
 import (
+	"bytes"
 	"cmp"
 	"embed"
+	"encoding/xml"
+	"errors"
 	"fmt"
 	"math"
 	"os"
+	"regexp"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"brackenbend/internal/config"
@@ -31,6 +37,8 @@
 	Tenants  []Tenant      `cfg:"tenant"`
 	Happens  []Happening   `cfg:"happen"`
 	Expected *Expected     `cfg:"expect"`
+
+	text []byte // that it was read from
 }
 
 // Service is what fronts and auditor are told.
@@ -157,6 +165,7 @@
 	if err := config.Decode(file, text, "day", d, d.check); err != nil {
 		return nil, err
 	}
+	d.text = text
 	if d.Dialect == "" {
 		d.Dialect = "extended"
 	}
@@ -237,6 +246,60 @@
 	}
 }
 
+var happenLine = regexp.MustCompile(`[ \t]*<happen\s[^>]*/>[ \t]*\n?`)
+
+// With is the day with other happenings, and the text of its file. A bound on service goes, since it was the other day's.
+func (d *Day) With(happens []Happening, note string) (*Day, []byte, error) {
+	text := happenLine.ReplaceAll(d.text, nil)
+	text = expectLine.ReplaceAll(text, nil)
+	end := bytes.LastIndex(text, []byte("</day>"))
+	if end < 0 {
+		return nil, nil, errors.New("scene: the day's file has no </day>")
+	}
+	var b bytes.Buffer
+	b.Write(text[:end])
+	if note != "" {
+		fmt.Fprintf(&b, "  <!-- %s -->\n", strings.ReplaceAll(note, "--", "- -"))
+	}
+	for i := range happens {
+		b.WriteString("  " + happens[i].XML() + "\n")
+	}
+	b.Write(text[end:])
+	other, err := Parse("day.xml", b.Bytes())
+	return other, b.Bytes(), err
+}
+
+var expectLine = regexp.MustCompile(`[ \t]*<expect\s[^>]*/>[ \t]*\n?`)
+
+// XML is the happening as it stands in a day file.
+func (h *Happening) XML() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "<happen at=%q what=%q", plainTime(h.At), h.What)
+	add := func(name, v string, is bool) {
+		if is {
+			b.WriteString(" " + name + `="`)
+			_ = xml.EscapeText(&b, []byte(v))
+			b.WriteString(`"`)
+		}
+	}
+	add("kind", h.Kind, h.Kind != "")
+	add("class", h.Class, h.Class != "")
+	add("count", strconv.Itoa(h.Count), h.Count != 0)
+	add("part", strconv.FormatFloat(h.Part, 'f', -1, 64), h.Part != 0)
+	add("factor", strconv.FormatFloat(h.Factor, 'f', -1, 64), h.Factor != 0)
+	add("late", plainTime(h.Late), h.Late != 0)
+	add("for", plainTime(h.For), h.For != 0)
+	return b.String() + "/>"
+}
+
+// plainTime writes a time with one unit, as settings take it.
+func plainTime(d time.Duration) string {
+	if d%time.Second == 0 {
+		return strconv.FormatInt(int64(d/time.Second), 10) + "s"
+	}
+	return strconv.FormatInt(d.Milliseconds(), 10) + "ms"
+}
+
 // Bounds of a day in simulated time; on sockets they are narrower, see OnSockets.
 const (
 	mostFronts  = 10000
