--- a/cmd/brackenbend/lab_day.go
+++ b/cmd/brackenbend/lab_day.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"brackenbend/internal/lab/fleet"
+	"brackenbend/internal/lab/forecast"
 	"brackenbend/internal/lab/scene"
 )
 
@@ -30,6 +31,8 @@
 	var seconds float64
 	var seed uint64
 	var rec recording
+	var clients int
+	var jsonFile string
 	rules, shards := true, 1
 	cmd := &cobra.Command{
 		Use:   "day [FILE]",
@@ -49,6 +52,9 @@
 					return coded{err, exitUsage}
 				}
 			}
+			if cmd.Flags().Changed("clients") {
+				d.Seed = clients
+			}
 			traffic, err := rec.load(d)
 			if err != nil {
 				return err
@@ -63,6 +69,11 @@
 			}
 			took := time.Since(began)
 			out := cmd.OutOrStdout()
+			if jsonFile != "" {
+				if err := writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, forecast.Sum(r)) }); err != nil {
+					return err
+				}
+			}
 			fmt.Fprintf(out, "simulated: service %.3f, worst 10 s %.3f, over %v\n\n", r.Score.Service(), r.Score.Worst(10), d.Length)
 			w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
 			fmt.Fprintln(w, "CLASS\tREQUESTS\tSERVICE\tSERVED\tLATE\tREFUSED\tFAILED\tBROKEN\tLEFT\tLOST\tTRIES\tFIRST P50\tP99")
@@ -104,6 +115,8 @@
 	f.Float64Var(&seconds, "seconds", 0, "scale the day to last so long")
 	f.Uint64Var(&seed, "seed", 0, "of everything but the clients' draws, which are the day's")
 	rec.flags(f)
+	f.IntVar(&clients, "clients", 0, "seed of the clients' draws in place of the day's")
+	f.StringVar(&jsonFile, "json", "", "write a summary to this file")
 	f.BoolVar(&rules, "rules", true, "judge the rules, which keeps all that passed in memory")
 	f.IntVar(&shards, "shards", 1, "parts of the fleet played side by side; the result is the same")
 	return cmd
--- a/cmd/brackenbend/lab_forecast.go
+++ b/cmd/brackenbend/lab_forecast.go
@@ -6,12 +6,14 @@
 	"fmt"
 	"io"
 	"os"
+	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -129,6 +131,10 @@
 		o.Decider = func(s choice.Settings, seed uint64) (fleet.Decider, error) {
 			return baseline.New(baseline.Way(what), s, seed)
 		}
+	case executable(what) && recorded != nil:
+		return forecast.Side{}, coded{fmt.Errorf("%s: another version can't be given recordings yet; compare it on a day", what), exitUsage}
+	case executable(what):
+		return forecast.Side{Name: filepath.Base(what), Day: d, Play: otherVersion(what, d, rules)}, nil
 	default:
 		set, err := config.Load(what)
 		if err != nil {
@@ -143,6 +149,43 @@
 	}}, nil
 }
 
+// executable tells a program from a settings file.
+func executable(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && info.Mode().IsRegular() && info.Mode()&0o111 != 0
+}
+
+// otherVersion plays courses with another version's program: its lab day, on a day file of its own.
+func otherVersion(binary string, d *scene.Day, rules bool) func(*scene.Day, uint64) (*forecast.Summary, error) {
+	return func(now *scene.Day, seed uint64) (*forecast.Summary, error) {
+		dir, err := os.MkdirTemp("", "brackenbend-compare-")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(dir)
+		_, text, err := d.With(d.Happens, "")
+		if err != nil {
+			return nil, err
+		}
+		file, result := filepath.Join(dir, "day.xml"), filepath.Join(dir, "summary.json")
+		if err := os.WriteFile(file, text, 0o600); err != nil {
+			return nil, err
+		}
+		ctx, stop := context.WithTimeout(context.Background(), 10*time.Minute)
+		defer stop()
+		out, err := exec.CommandContext(ctx, binary, "lab", "day", file, "--seed", fmt.Sprint(seed), "--clients", fmt.Sprint(now.Seed),
+			fmt.Sprintf("--rules=%v", rules), "--json", result).CombinedOutput()
+		if text, rerr := os.ReadFile(result); rerr == nil { // also where rules broke, which it tells by its exit code
+			s := &forecast.Summary{}
+			if err := json.Unmarshal(text, s); err != nil {
+				return nil, fmt.Errorf("%s: %w", binary, err)
+			}
+			return s, nil
+		}
+		return nil, fmt.Errorf("%s lab day: %w: %.500s", binary, err, out)
+	}
+}
+
 func compareCommand() *cobra.Command {
 	var traffic, other, html, jsonFile string
 	var rec recording
@@ -153,8 +196,8 @@
 		Short: "Compare two ways of running the fronts on the same traffic, in simulated time",
 		Long: `Play a day many times, each time with other clients, the same on both sides, until the answer is clear: which of the two
 serves better, that no difference counts, or that it can't be told. A and B are each "choice" (the module with the day's
-settings), a settings file of fronts (classes, kinds and tenants named as the day's are), or, as a yardstick only, a simple
-way of deciding: random, fewest, two-choices. With --other the second plays another day file: other engines, other troubles.
+settings), a settings file of fronts (classes, kinds and tenants named as the day's are), another version of this program
+(its path), or, as a yardstick only, a simple way of deciding: random, fewest, two-choices. With --other the second plays another day file: other engines, other troubles.
 Bars are of the mean difference over paired courses (studentised bootstrap), at --level over all looks together.`,
 		Example: "  brackenbend compare choice random --traffic days/burst.xml\n  brackenbend compare now.xml next.xml --traffic days/mass-restart.xml --html report.html",
 		Args:    exactly(2),
--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -176,7 +176,10 @@
 		{[]string{"lab", "day", bad}, exitConfig},
 		{[]string{"lab", "forecast", "../../days/stall.xml", "--runs", "2"}, exitUsage},
 		{[]string{"compare", "choice", "choice", "--traffic", "../../days/stall.xml", "--batch", "3", "--most", "3", "--html", filepath.Join(t.TempDir(), "x.html")}, 0},
+		{[]string{"compare", "choice", os.Args[0], "--traffic", "../../days/stall.xml", "--batch", "3", "--most", "3"}, 0}, // with this very program
 		{[]string{"compare", "choice", bad}, exitConfig},
+		{[]string{"lab", "hunt", "../../days/stall.xml", "--rounds", "1", "--draws", "4", "--troubles", "1", "-o", filepath.Join(t.TempDir(), "x.xml")}, 0},
+		{[]string{"lab", "fit", bad}, exitConfig},
 		{[]string{"compare", "choice", "../../deploy/examples/front.xml"}, exitFailure}, // other classes than the day's
 	} {
 		cmd := exec.Command(os.Args[0], c.args...)
--- a/internal/lab/forecast/forecast.go
+++ b/internal/lab/forecast/forecast.go
@@ -142,6 +142,45 @@
 	Name string
 	Day  *scene.Day
 	Make func(seed uint64) fleet.Options
+	// Play plays a course in place of fleet.Run with Make's options, as by another version of the program.
+	Play func(d *scene.Day, seed uint64) (*Summary, error)
+}
+
+func (s *Side) play(d *scene.Day, seed uint64) (*Summary, error) {
+	if s.Play != nil {
+		return s.Play(d, seed)
+	}
+	r, err := fleet.Run(d, s.Make(seed))
+	if err != nil {
+		return nil, err
+	}
+	return Sum(r), nil
+}
+
+// Summary is what a comparison needs of one course.
+type Summary struct {
+	Service  float64        `json:"service"`
+	Worst    float64        `json:"worst_10s"`
+	Requests int            `json:"requests"`
+	Refused  int            `json:"refused"`
+	Attempts int            `json:"attempts"`
+	Moved    float64        `json:"state_tokens"`
+	Breaches int            `json:"breaches"`
+	Course   []scene.Second `json:"course"`
+}
+
+// Sum sums a course up.
+func Sum(r *fleet.Result) *Summary {
+	s := &Summary{Service: r.Score.Service(), Worst: r.Score.Worst(10), Attempts: r.Attempts["read"] + r.Attempts["write"], Moved: r.Moved, Course: r.Score.Course}
+	classes, _ := r.Score.Rows()
+	for _, c := range classes {
+		s.Requests += c.Requests
+		s.Refused += c.Refused
+	}
+	for _, v := range r.Rules {
+		s.Breaches += len(v.Breaches)
+	}
+	return s
 }
 
 // Verdict is the outcome of a comparison.
@@ -199,13 +238,13 @@
 	requests := [2]float64{}
 	for c.Looks = 1; c.Looks <= looks; c.Looks++ {
 		more := min(r.Batch, r.Most-n)
-		results := make([][2]*fleet.Result, more)
+		results := make([][2]*Summary, more)
 		err := each(2*more, r.AtOnce, func(i int) error {
 			side := []Side{a, b}[i%2]
 			seed := uint64(n + i/2 + 1)
 			d := *side.Day
 			d.Seed += 1000 * int(seed)
-			res, err := fleet.Run(&d, side.Make(seed))
+			res, err := side.play(&d, seed)
 			results[i/2][i%2] = res
 			return err
 		})
@@ -216,7 +255,7 @@
 			for k, res := range pair {
 				c.add(k, res, &requests[k])
 			}
-			c.Diffs = append(c.Diffs, pair[1].Score.Service()-pair[0].Score.Service())
+			c.Diffs = append(c.Diffs, pair[1].Service-pair[0].Service)
 		}
 		n += more
 		c.judge(level, r.Counts)
@@ -231,25 +270,20 @@
 	return c, nil
 }
 
-func (c *Comparison) add(k int, r *fleet.Result, requests *float64) {
-	c.Means[k] += r.Score.Service()
-	c.Worst[k] += r.Score.Worst(10)
-	classes, _ := r.Score.Rows()
-	for _, x := range classes {
-		*requests += float64(x.Requests)
-		c.Refused[k] += float64(x.Refused)
-	}
-	c.Attempts[k] += float64(r.Attempts["read"] + r.Attempts["write"])
-	c.Moved[k] += r.Moved
-	for _, v := range r.Rules {
-		c.Breaches[k] += len(v.Breaches)
-	}
-	for i, s := range r.Score.Course {
+func (c *Comparison) add(k int, s *Summary, requests *float64) {
+	c.Means[k] += s.Service
+	c.Worst[k] += s.Worst
+	*requests += float64(s.Requests)
+	c.Refused[k] += float64(s.Refused)
+	c.Attempts[k] += float64(s.Attempts)
+	c.Moved[k] += s.Moved
+	c.Breaches[k] += s.Breaches
+	for i, x := range s.Course {
 		if i == len(c.Courses[k]) {
 			c.Courses[k] = append(c.Courses[k], scene.Second{})
 		}
-		c.Courses[k][i].Worth += s.Worth
-		c.Courses[k][i].Asked += s.Asked
+		c.Courses[k][i].Worth += x.Worth
+		c.Courses[k][i].Asked += x.Asked
 	}
 }
 
--- a/internal/lab/forecast/forecast_test.go
+++ b/internal/lab/forecast/forecast_test.go
@@ -28,7 +28,7 @@
 }
 
 func side(name string, d *scene.Day, way baseline.Way) Side {
-	return Side{name, d, func(seed uint64) fleet.Options {
+	return Side{Name: name, Day: d, Make: func(seed uint64) fleet.Options {
 		o := fleet.Options{Seed: seed}
 		if way != "" {
 			o.Decider = func(s choice.Settings, seed uint64) (fleet.Decider, error) { return baseline.New(way, s, seed) }
