--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -16,6 +16,9 @@
 // epoch is the router's time at the day's beginning, so that engines may have started before.
 const epoch = 24 * time.Hour
 
+// lastTaken is how long a front that ends still takes connections, to tell their clients (lastLook in internal/front).
+const lastTaken = 50 * time.Millisecond
+
 // startUp is how long a front's process takes from its start until it listens.
 const startUp = 100 * time.Millisecond
 
@@ -31,6 +34,7 @@
 	run      int // of its process; what belongs to an earlier one is passed over
 	up       bool
 	draining bool
+	stopped  time.Duration // when it was told to end
 	d        Decider
 	next     choice.RequestID
 	flights  map[choice.RequestID]*flight
@@ -190,7 +194,7 @@
 		}
 		x.down()
 	case "front-stop":
-		x.draining = true
+		x.draining, x.stopped = true, x.now()
 		run := x.run
 		x.later(10*time.Second, deed{run, func() {
 			for _, id := range slices.Sorted(maps.Keys(x.flights)) {
@@ -235,6 +239,10 @@
 }
 
 func (x *front) asked(m asks) {
+	if x.draining && x.now()-x.stopped > lastTaken {
+		x.answer(m.try, "unconnected", 0, false)
+		return
+	}
 	if x.draining {
 		x.answer(m.try, "turned", time.Second, false)
 		return
