--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -93,6 +93,9 @@
 		return nil, err
 	}
 	time.Sleep(d.Service.Release + 300*time.Millisecond) // states of the last requests are let go, or are breaches
+	if r.planners != nil {
+		r.planners.stop()
+	}
 	for _, p := range r.fronts {
 		r.end(p, syscall.SIGTERM)
 	}
