--- a/choice/placing.go
+++ b/choice/placing.go
@@ -150,7 +150,7 @@
 		rank := [6]float64{b2f(!room) + b2f(!room && s.bad), b2f(q.triedOn(s)) + b2f(s.shunned(q)),
 			float64(s.n),
 			b2f(!keepCell || s.Cell != q.reader.Cell), b2f(!keepZone || s.Zone != q.reader.Zone),
-			-math.Log(draw(r.salt^uint64(s.ID), uint64(q.ID))) / r.cells[s.Cell].short()}
+			-math.Log(draw(r.salt^uint64(s.ID), uint64(q.ID))) / r.cells.at(s.Cell).short()}
 		if best == nil || slices.Compare(rank[:], bestRank[:]) < 0 {
 			best, bestRank = s, rank
 		}
@@ -167,7 +167,7 @@
 		return q.reader != nil, q.reader != nil
 	}
 	u := draw(r.salt, uint64(q.ID))
-	c, z := r.cells[q.reader.Cell], r.zones[q.reader.Zone]
+	c, z := r.cells.at(q.reader.Cell), r.zones.at(q.reader.Zone)
 	return u*c.reads <= c.writes, u*z.reads <= z.writes
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -42,7 +42,7 @@
 	wakeAt       time.Duration // the earliest wake-up asked for and not come yet; 0 = none
 	judgeAt      time.Duration // servers are judged again
 	roles        [Mixed + 1]roleFigures
-	cells, zones map[int]flow
+	cells, zones flows
 	shed         float64 // part of new requests that is refused
 	feltAt       time.Duration
 	keys         map[uint64]float64 // requests seen, by key
@@ -71,6 +71,18 @@
 // flow is the part of all reads that a cell or zone is taken to make, and of all answers that it can write.
 type flow struct{ reads, writes float64 }
 
+// flows are by cell or zone.
+type flows map[int]*flow
+
+func (m flows) at(place int) *flow {
+	f := m[place]
+	if f == nil {
+		f = &flow{}
+		m[place] = f
+	}
+	return f
+}
+
 // short is how far the readers' part lacks behind the writers'.
 func (f flow) short() float64 { return max(1-f.reads/max(f.writes, 1e-9), 1e-9) }
 
@@ -296,14 +308,21 @@
 func (r *Router) age(s *server) {
 	dt := (r.now - s.seen).Seconds()
 	s.seen = r.now
-	s.count *= math.Exp(-dt / memory.Seconds())
-	s.slow *= math.Exp(-dt / failsFor.Seconds())
+	fade(&s.count, dt, memory)
+	fade(&s.slow, dt, failsFor)
 	for i, was := range s.fails {
-		if s.fails[i] *= math.Exp(-dt / failsFor.Seconds()); was > failBad && s.fails[i] <= failBad {
+		if fade(&s.fails[i], dt, failsFor); was > failBad && s.fails[i] <= failBad {
 			r.reshape()
 		}
 	}
-	s.homed *= math.Exp(-dt / homedFor.Seconds())
+	fade(&s.homed, dt, homedFor)
+}
+
+// fade lets a figure fall with time. Most are 0 where a front sees few requests of many servers.
+func fade(v *float64, dt float64, over time.Duration) {
+	if *v != 0 {
+		*v *= math.Exp(-dt / over.Seconds())
+	}
 }
 
 // count sums up each role anew.
@@ -340,19 +359,18 @@
 
 // flows sets the readers' parts of each cell and zone against the writers'.
 func (r *Router) flows() {
-	r.cells, r.zones = map[int]flow{}, map[int]flow{}
+	r.cells, r.zones = flows{}, flows{}
 	for _, s := range r.servers {
 		if !s.listed || s.bad || s.role == Mixed {
 			continue
 		}
-		c, z := r.cells[s.Cell], r.zones[s.Zone]
+		c, z := r.cells.at(s.Cell), r.zones.at(s.Zone)
 		part := r.present(s) / r.roles[s.role].well
 		if s.role == Reader {
 			c.reads, z.reads = c.reads+part, z.reads+part
 		} else {
 			c.writes, z.writes = c.writes+part, z.writes+part
 		}
-		r.cells[s.Cell], r.zones[s.Zone] = c, z
 	}
 }
 
