One place for when moods change, and for a register that is cut off

Cause: the emulator and the load tool each made the list of clients' changes, the register answered its being cut off twice; and a test of scenes did not pass vet.

--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -97,15 +97,8 @@
 
 // begin plans the happenings that are the clients' own, and the first session.
 func (c *clients) begin() {
-	for i := range c.f.d.Happens {
-		h := &c.f.d.Happens[i]
-		trial := scene.Calm()
-		if trial.Change(h) == nil {
-			continue
-		}
-		var undo func(*scene.Mood)
-		c.later(h.At, moods{func(m *scene.Mood) { undo = m.Change(h) }})
-		c.later(h.At+h.For, moods{func(m *scene.Mood) { undo(m) }})
+	for _, m := range c.f.d.Moods() {
+		c.later(m.At, moods{m.Do})
 	}
 	c.later(c.arrivals.Gap(&c.mood), arrival{})
 }
--- a/internal/lab/scene/clients.go
+++ b/internal/lab/scene/clients.go
@@ -59,6 +59,27 @@
 	return nil
 }
 
+// MoodChange is a change of the clients' mood at a time of the day.
+type MoodChange struct {
+	At time.Duration
+	Do func(*Mood)
+}
+
+// Moods are the changes that the day's happenings make, by time.
+func (d *Day) Moods() (all []MoodChange) {
+	for i := range d.Happens {
+		h := &d.Happens[i]
+		calm := Calm()
+		if calm.Change(h) == nil {
+			continue
+		}
+		var undo func(*Mood)
+		all = append(all, MoodChange{h.At, func(m *Mood) { undo = m.Change(h) }}, MoodChange{h.At + h.For, func(m *Mood) { undo(m) }})
+	}
+	slices.SortStableFunc(all, func(a, b MoodChange) int { return cmp.Compare(a.At, b.At) })
+	return all
+}
+
 // partOfRequests are the happenings whose part is of an engine's requests; that of others is of engines.
 var partOfRequests = []string{"fail-fast", "reset-mid-stream", "reset-after-request", "reset-after-effect", "fail-after-effect", "stall-after-effect"}
 
--- a/internal/lab/scene/scene_test.go
+++ b/internal/lab/scene/scene_test.go
@@ -35,7 +35,7 @@
 		}
 		for i := range again.Happens {
 			a, b := d.Happens[i], again.Happens[i]
-			a.Pos, b.Pos = b.Pos, b.Pos
+			a.Pos = b.Pos
 			if a != b {
 				t.Errorf("%s: %+v came back as %+v", f, a, b)
 			}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -9,7 +9,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -161,27 +160,13 @@
 
 // moods carries out the day's happenings that are the clients' own.
 func (r *run) moods(ctx context.Context) {
-	type change struct {
-		at time.Duration
-		do func(*scene.Mood)
-	}
-	var all []change
-	for i := range r.p.Day.Happens {
-		h := &r.p.Day.Happens[i]
-		calm := scene.Calm()
-		if calm.Change(h) == nil {
-			continue
-		}
-		var undo func(*scene.Mood)
-		all = append(all, change{h.At, func(m *scene.Mood) { undo = m.Change(h) }}, change{h.At + h.For, func(m *scene.Mood) { undo(m) }})
-	}
-	slices.SortStableFunc(all, func(a, b change) int { return int(a.at - b.at) })
+	all := r.p.Day.Moods()
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	for {
-		for len(all) > 0 && time.Since(r.began) >= all[0].at {
+		for len(all) > 0 && time.Since(r.began) >= all[0].At {
 			r.mu.Lock()
-			all[0].do(&r.mood)
+			all[0].Do(&r.mood)
 			r.mu.Unlock()
 			all = all[1:]
 		}
--- a/internal/standin/register/book.go
+++ b/internal/standin/register/book.go
@@ -86,6 +86,14 @@
 	return disk.Replace(path, text)
 }
 
+// away answers for a register that is cut off. s.mu is held.
+func (s *Server) away(w http.ResponseWriter) bool {
+	if s.cut {
+		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+	}
+	return s.cut
+}
+
 // maxMemory bounds what planners leave.
 const maxMemory = 4 << 20
 
@@ -93,8 +101,7 @@
 func (s *Server) serveMemory(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cut {
-		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+	if s.away(w) {
 		return
 	}
 	if r.Method == http.MethodPut {
@@ -124,8 +131,7 @@
 func (s *Server) serveBook(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.cut {
-		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+	if s.away(w) {
 		return
 	}
 	if r.Method == http.MethodPut {
