The emulator plays engines that change role, with roles/ and the planner's own view

Change: planners, the book and the seats of package roles speak by messages; the planner's view of a book and its reckoning of what fronts lost are internal/planner's, which now sums them in one order. Planner stops, forced roles and liars are played.

--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -10,20 +10,20 @@
 	"brackenbend/internal/audit"
 	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/standin/model"
+	"brackenbend/roles"
 )
 
 // engine is one engine: the stand-ins' model behind links in place of sockets, with the stand-in's faults.
 type engine struct {
 	base
 	tap
-	f               *fleet
-	rnd             *rand.Rand
-	index           int
-	name            string
-	kind            *scene.Kind
-	kindIndex, cell int
-	role            choice.Role
-	par             model.Params
+	f     *fleet
+	rnd   *rand.Rand
+	index int
+	name  string
+	kind  *scene.Kind // at the day's beginning
+	cell  int
+	par   model.Params
 
 	m       *model.Engine
 	up      bool
@@ -36,6 +36,12 @@
 
 	reads, writes int
 	moved         float64
+
+	byRole    map[roles.Role]model.Params // where it may change; nil = it stays
+	seat      roles.Seat
+	switching bool
+	turn      int // of its switches; those of an earlier one, or an earlier process, are passed over
+	liar      bool
 }
 
 // job is one attempt at this engine.
@@ -98,11 +104,15 @@
 		job string
 		ok  bool
 	}
-	look struct{}
+	look     struct{}
+	switched struct {
+		turn  int
+		added bool
+	}
 )
 
-func newEngine(f *fleet, k *scene.Kind, kind, n int) *engine {
-	e := &engine{f: f, index: len(f.engines), name: fmt.Sprintf("%s-%d", k.Name, n+1), kind: k, kindIndex: kind, cell: 1 + n%2, role: f.cs.Kinds[kind].Role, par: f.d.Params(k),
+func newEngine(f *fleet, k *scene.Kind, n int) *engine {
+	e := &engine{f: f, index: len(f.engines), name: fmt.Sprintf("%s-%d", k.Name, n+1), kind: k, cell: 1 + n%2, par: f.d.Params(k),
 		rnd: f.rnd(1000 + uint64(len(f.engines))), up: true, faults: map[string]harm{}, tap: tap{taped: f.o.Audit}}
 	e.fresh(0, false)
 	return e
@@ -131,6 +141,14 @@
 		e.took(m)
 	case harm:
 		e.harm(m)
+	case tellsRole:
+		if _, can := e.byRole[m.tell.To]; can && e.up {
+			e.seat = e.seat.Take(m.tell)
+		}
+	case asksStatus:
+		e.tellStatus(m.from)
+	case switched:
+		e.switchedTo(m)
 	case look:
 		if e.planned = 0; e.up {
 			e.m.Advance(e.now())
@@ -152,6 +170,7 @@
 		e.end()
 		e.send(e.f.register.id, e.f.hop(e.rnd), wentDown{e.index})
 	}
+	e.emptied()
 	if at, ok := e.m.Next(); ok && e.up && (e.planned == 0 || at < e.planned) {
 		e.planned = max(at, e.now())
 		e.later(e.planned-e.now(), look{})
@@ -184,6 +203,10 @@
 		e.reply(&s, choice.ConnectFailed, false, 0)
 		return
 	}
+	if e.leaving() {
+		e.reply(&s, choice.Turned, false, 0)
+		return
+	}
 	e.record(e.now(), audit.Event{Kind: audit.Arrive, Engine: e.name, Front: s.name, Request: s.id, Write: s.write, Try: s.work.id})
 	if s.write {
 		e.writes++
@@ -346,6 +369,7 @@
 // end is the end of the process.
 func (e *engine) end() {
 	e.up = false
+	e.turn++
 	e.lose()
 }
 
@@ -374,6 +398,8 @@
 			e.end()
 		case !h.on && !e.up:
 			e.up = true
+			e.seat, e.switching = e.seat.Empty(), false // the crash emptied it
+			e.becomes(e.seat.Role)
 			e.fresh(e.now(), true)
 			e.record(e.now(), audit.Event{Kind: audit.EngineUp, Engine: e.name})
 			e.send(e.f.register.id, e.f.hop(e.rnd), cameUp{e.index, e.now()})
@@ -386,6 +412,8 @@
 		if h.on {
 			e.lose()
 		}
+	case "liar":
+		e.liar = h.on
 	case "refuse-connects":
 		e.deaf = h.on
 	default:
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -1,16 +1,17 @@
 // Package fleet plays a scripted day (internal/lab/scene) in simulated time: the fronts' decisions are those of the same
 // choice.Router with the same settings and mappings as the daemon's, engines are the model that the stand-ins run
 // (internal/standin/model), clients draw as those of a day on sockets do, and the five rules are judged by the same judge
-// (internal/audit). It opens no sockets and reads no clock.
+// (internal/audit). Engines change role by package roles and the view of internal/planner. It opens no sockets and reads
+// no clock.
 //
 // What differs from sockets: links take the same time whatever they carry, and a front's own work takes none beside it;
-// slow readers, load reports and the register's flapping, compacted and stale answers are left out, and a front that was
+// slow readers, load reports and the register's flapping, compacted and stale answers are left out, planners look at what
+// was answered half a look before, and a front that was
 // cut off from the register comes back to it after an even draw up to the time of its longest pause.
 package fleet
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -51,13 +52,11 @@
 	Events   int64           // played
 	LeftOut  []string        // happenings that are not played here
 	Moved    float64         // state tokens that writers fetched
+	Roles    []Standing      // where engines change role: each look of the first planner
 }
 
 // Run plays a day.
 func Run(d *scene.Day, o Options) (*Result, error) {
-	if d.Planner != nil {
-		return nil, errors.New("fleet: engines that change role are not played here; see the roles' laboratory")
-	}
 	o.Link, o.Jitter = cmp.Or(o.Link, 250*time.Microsecond), cmp.Or(o.Jitter, 50*time.Microsecond)
 	f := &fleet{d: d, o: o, k: newKernel(max(o.Shards, 1), o.Link)}
 	if f.o.Decider == nil {
@@ -80,7 +79,7 @@
 	f.k.add(f.register)
 	for i := range d.Kinds {
 		for n := range d.Kinds[i].Count {
-			e := newEngine(f, &d.Kinds[i], i, n)
+			e := newEngine(f, &d.Kinds[i], n)
 			f.k.add(e)
 			f.engines = append(f.engines, e)
 		}
@@ -90,11 +89,22 @@
 		f.k.add(x)
 		f.fronts = append(f.fronts, x)
 	}
+	f.shift()
 	for _, x := range f.fronts {
 		if err := x.start(); err != nil {
 			return nil, err
 		}
 	}
+	if d.Planner != nil {
+		for i := range max(d.Planner.Count, 1) {
+			p := &planners{f: f, rnd: f.rnd(1<<30 + uint64(i)), index: i}
+			f.k.add(p)
+			f.planners = append(f.planners, p)
+			if err := p.start(); err != nil {
+				return nil, err
+			}
+		}
+	}
 	f.register.begin()
 	f.clients.begin()
 	f.k.run(func(now time.Duration) bool {
@@ -140,6 +150,7 @@
 	register *register
 	engines  []*engine
 	fronts   []*front
+	planners []*planners
 }
 
 // rnd is a party's own source of chance.
@@ -166,6 +177,9 @@
 	for _, x := range f.fronts {
 		events = append(events, x.log...)
 	}
+	if len(f.planners) > 0 {
+		r.Roles = f.planners[0].seen
+	}
 	for _, s := range f.k.shards {
 		r.Events += s.events
 	}
--- a/internal/lab/fleet/register.go
+++ b/internal/lab/fleet/register.go
@@ -9,6 +9,7 @@
 	"brackenbend/choice"
 	"brackenbend/internal/audit"
 	"brackenbend/internal/lab/scene"
+	"brackenbend/roles"
 )
 
 // register lists the engines to the fronts, and carries out what the day's script does to engines and fronts: it is the
@@ -26,6 +27,9 @@
 	wrote   []time.Duration // by front: when the newest word was written to it, and when it is heard
 	heard   []time.Duration
 	leftOut []string
+	book    roles.Book
+	kinds   map[roles.Role]int // where engines change role
+	memory  left
 }
 
 // line is what the register knows of an engine.
@@ -44,6 +48,7 @@
 	}
 	listed struct {
 		engine  int
+		kind    int
 		state   choice.State
 		started time.Duration
 	}
@@ -123,9 +128,27 @@
 		r.changed(m.engine)
 	case wants:
 		r.tell(m.front, true)
+	default:
+		r.ofRoles(m)
 	}
 }
 
+// listed is an engine as the list has it: the register's own news, bent by the book.
+func (r *register) listed(i int) listed {
+	e, l := r.f.engines[i], r.lines[i]
+	out := listed{i, r.f.set.KindIndex(e.kind.Name), r.state(i), l.started}
+	if b, ok := r.book.Entries[e.name]; ok {
+		out.kind = r.kinds[b.Role]
+		if out.state == choice.Ready && !b.Open {
+			out.state = choice.Draining
+		}
+		if b.Began > 0 {
+			out.started = max(out.started, b.Began-epoch)
+		}
+	}
+	return out
+}
+
 func (r *register) state(i int) choice.State {
 	switch l := &r.lines[i]; {
 	case l.unlisted || !l.up:
@@ -143,7 +166,7 @@
 	}
 	for i := range r.f.fronts {
 		if !r.down[i] {
-			r.give(i, news{choice.Changes, []listed{{engine, r.state(engine), r.lines[engine].started}}})
+			r.give(i, news{choice.Changes, []listed{r.listed(engine)}})
 		}
 	}
 }
@@ -155,7 +178,7 @@
 	}
 	n := news{scope: choice.Full}
 	for i := range r.lines {
-		n.engines = append(n.engines, listed{i, r.state(i), r.lines[i].started})
+		n.engines = append(n.engines, r.listed(i))
 	}
 	r.give(front, n)
 }
@@ -205,11 +228,19 @@
 	case "register-late":
 		r.late = h.Late
 		return func() { r.late = 0 }
-	case "register-compact", "register-stale", "register-flap", "reports-frozen", "reports-none", "liar", "planner-stop", "role-force":
+	case "register-compact", "register-stale", "register-flap", "reports-frozen", "reports-none":
 		if h.What != "register-compact" { // which a front does not feel but by a new list
 			r.leaveOut(h)
 		}
 		return nil
+	case "planner-stop":
+		r.toPlanners(signal{"stop"})
+		return func() { r.toPlanners(signal{"start"}) }
+	case "role-force":
+		for _, i := range r.pick(h) {
+			r.force(r.f.engines[i].name)
+		}
+		return nil
 	}
 	picked := r.pick(h)
 	for _, i := range picked {
--- /dev/null
+++ b/internal/lab/fleet/roles.go
@@ -0,0 +1,378 @@
+package fleet
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brackenbend/internal/lab/scene"
+	"brackenbend/internal/planner"
+	"brackenbend/internal/standin/model"
+	"brackenbend/roles"
+)
+
+// Engines that change role: the planner, the book and the seat are those of package roles, the planner's view is that of
+// internal/planner; here they speak by messages.
+
+// Standing is how the engines that change stood at a look.
+type Standing struct {
+	At                         time.Duration
+	Readers, Writers, Changing int
+	Reading, Writing           float64 // work asked for, in engines
+	Orders                     uint64
+}
+
+type (
+	asksStatus struct{ from int32 }
+	asksLost   struct{ from int32 }
+	asksView   struct{ from int32 }
+	status     struct {
+		engine string
+		word   planner.Status
+	}
+	lostCounts struct {
+		front string
+		lost  [2]float64
+	}
+	tellsRole struct{ tell roles.Tell }
+	writes    struct {
+		from int32
+		book roles.Book
+	}
+	wrote struct {
+		book roles.Book
+		ok   bool
+	}
+	// left is what a planner learned, and when.
+	left struct {
+		at     time.Duration
+		memory roles.Memory
+		ok     bool
+	}
+	views struct {
+		view   planner.View
+		memory left
+	}
+	tick  struct{ run int }
+	think struct{ run int }
+)
+
+// shift makes the engines of the kinds that shift ones that may change, and the book that says so.
+func (f *fleet) shift() {
+	params, kinds := map[roles.Role]model.Params{}, map[roles.Role]int{}
+	for i := range f.d.Kinds {
+		k := &f.d.Kinds[i]
+		if !k.Shifts {
+			continue
+		}
+		role, p := roleOf(k), f.d.Params(k)
+		if role == roles.Writer {
+			p.Reads = f.d.Service.WritersRead
+		}
+		params[role], kinds[role] = p, f.set.KindIndex(k.Name)
+	}
+	if len(params) == 0 {
+		return
+	}
+	both := params[roles.Writer]
+	both.Reads, both.ReadRate = true, params[roles.Reader].ReadRate
+	params[roles.Both], kinds[roles.Both] = both, f.set.KindIndex(scene.KindBoth)
+	f.register.kinds, f.register.book.Entries = kinds, map[string]roles.Entry{}
+	for _, e := range f.engines {
+		if e.kind.Shifts {
+			r := roleOf(e.kind)
+			e.byRole, e.seat = params, roles.Seat{Role: r, To: r}
+			e.becomes(r)
+			e.fresh(0, false)
+			f.register.book.Entries[e.name] = roles.Entry{Role: r, To: r, Open: true, Reads: true, Writes: true}
+		}
+	}
+}
+
+func roleOf(k *scene.Kind) roles.Role {
+	if k.Role == "reader" {
+		return roles.Reader
+	}
+	return roles.Writer
+}
+
+// becomes takes the parameters of a role.
+func (e *engine) becomes(r roles.Role) {
+	if p, ok := e.byRole[r]; ok {
+		e.par = p
+	}
+}
+
+// adds tells that the engine is only to take on a stage more.
+func (e *engine) adds() bool { return e.seat.To == roles.Both && e.seat.Role != roles.Both }
+
+// leaving tells that it takes no new work, since it is on its way to another role.
+func (e *engine) leaving() bool {
+	return e.byRole != nil && (!e.seat.Takes(e.seat.Role) || e.switching && !e.adds())
+}
+
+// emptied begins the switch once nothing is left of the old role.
+func (e *engine) emptied() {
+	busy := e.m.Working() > 0 || e.m.States() > 0
+	if e.byRole == nil || e.switching || e.seat.Word().Serves || busy && !e.adds() || !e.up {
+		return
+	}
+	e.switching = true
+	e.turn++
+	e.later(cmp.Or(e.f.d.Planner.Switch, time.Second), switched{e.turn, e.adds()})
+}
+
+func (e *engine) switchedTo(m switched) {
+	if m.turn != e.turn || !e.up {
+		return
+	}
+	e.m.Advance(e.now())
+	e.switching = false
+	if m.added != e.adds() { // another order came meanwhile
+		return
+	}
+	was := e.par
+	e.seat = e.seat.Empty()
+	e.becomes(e.seat.Role)
+	if m.added {
+		e.m.Become(e.now(), e.par)
+		return
+	}
+	if e.liar {
+		e.par = was
+	}
+	w := e.m.Work()
+	e.m = model.New(e.par, e.now(), true)
+	e.m.Resume(w)
+}
+
+func (e *engine) tellStatus(to int32) {
+	if !e.up || e.byRole == nil {
+		return
+	}
+	e.m.Advance(e.now())
+	k := e.m.Work()
+	st := planner.Status{Word: e.seat.Word(), Held: e.m.Working() + e.m.States(),
+		Read:  planner.Stage{Done: k.ReadDone, Waiting: k.ReadWaiting, Lost: k.ReadLost, Count: k.Reads},
+		Write: planner.Stage{Done: k.WriteDone, Waiting: k.WriteWaiting, Lost: k.WriteLost, Count: k.Writes}}
+	st.Serves = st.Serves && !e.switching
+	e.send(to, 3*e.f.hop(e.rnd), status{e.name, st})
+}
+
+// ofRoles is the register's part.
+func (r *register) ofRoles(m any) {
+	switch m := m.(type) {
+	case asksView:
+		if r.cut {
+			return
+		}
+		v := planner.View{Book: r.book, Listings: map[string]planner.Listing{}}
+		for i, e := range r.f.engines {
+			if l := &r.lines[i]; e.byRole != nil && !l.unlisted {
+				v.Listings[e.name] = planner.Listing{Place: fmt.Sprint(e.cell), Up: l.up && !l.draining}
+			}
+		}
+		r.send(m.from, r.f.hop(r.links), views{v, r.memory})
+	case writes:
+		if r.cut {
+			return
+		}
+		held, err := r.book.Write(m.book)
+		if err == nil {
+			r.write(held)
+		}
+		r.send(m.from, r.f.hop(r.links), wrote{held, err == nil})
+	case left:
+		r.memory = m
+	}
+}
+
+// write takes a book, and tells the fronts of what it changes.
+func (r *register) write(b roles.Book) {
+	was := r.book
+	r.book = b
+	for i, e := range r.f.engines {
+		if b.Entries[e.name] != was.Entries[e.name] {
+			r.changed(i)
+		}
+	}
+}
+
+// force is an operator who forces an engine into the other role, whatever a planner thinks.
+func (r *register) force(name string) {
+	to := roles.Reader
+	if r.book.Entries[name].Role == roles.Reader {
+		to = roles.Writer
+	}
+	if b, err := r.book.Begin(name, to, "forced by the day"); err == nil {
+		b.Version++
+		r.write(b)
+	}
+}
+
+func (r *register) toPlanners(s signal) {
+	for _, p := range r.f.planners {
+		r.send(p.id, r.f.hop(r.links), s)
+	}
+}
+
+// planners are one planner's process.
+type planners struct {
+	base
+	f     *fleet
+	rnd   *rand.Rand
+	index int
+
+	run    int // of its process
+	up     bool
+	p      *roles.Planner
+	words  map[string]planner.Status
+	counts map[string][2]float64
+	view   *views
+	places map[string]int
+	lost   planner.LostWork
+	kept   time.Duration
+	begun  bool
+	seen   []Standing
+}
+
+// keepEvery is how often what was learned is left at the register, as the planner's process does.
+const keepEvery = 30 * time.Second
+
+func (p *planners) start() error {
+	var err error
+	if p.p, err = roles.New(p.f.d.Planner.Settings()); err != nil {
+		return err
+	}
+	p.run++
+	p.up, p.begun, p.kept = true, false, p.now()
+	p.places, p.lost = map[string]int{}, planner.NewLostWork()
+	p.later(time.Duration(p.rnd.Float64()*float64(p.every())), tick{p.run})
+	return nil
+}
+
+func (p *planners) every() time.Duration { return cmp.Or(p.f.d.Planner.Every, time.Second) }
+
+func (p *planners) take(m any) {
+	switch m := m.(type) {
+	case signal:
+		if m.what == "stop" {
+			p.up = false
+		} else if !p.up {
+			if err := p.start(); err != nil { // the same settings were taken before
+				panic(err)
+			}
+		}
+	case tick:
+		if !p.up || m.run != p.run {
+			return
+		}
+		p.words, p.counts, p.view = map[string]planner.Status{}, map[string][2]float64{}, nil
+		p.send(p.f.register.id, p.f.hop(p.rnd), asksView{p.id})
+		for _, e := range p.f.engines {
+			p.send(e.id, 3*p.f.hop(p.rnd), asksStatus{p.id})
+		}
+		for _, x := range p.f.fronts {
+			p.send(x.id, 3*p.f.hop(p.rnd), asksLost{p.id})
+		}
+		p.later(p.every()/2, think{p.run})
+		p.later(p.every(), tick{p.run})
+	case views:
+		p.view = &m
+	case status:
+		if p.words != nil {
+			p.words[m.engine] = m.word
+		}
+	case lostCounts:
+		if p.counts != nil {
+			p.counts[m.front] = m.lost
+		}
+	case think:
+		if p.up && m.run == p.run && p.view != nil {
+			p.think()
+		}
+	case wrote:
+		if p.up && m.ok {
+			p.tell(m.book)
+		}
+	}
+}
+
+// think is a look of the planner's: what was heard, what is planned, what is written.
+func (p *planners) think() {
+	now := epoch + p.now()
+	if !p.begun {
+		p.begun = true
+		if m := p.view.memory; m.ok {
+			_ = p.p.Recall(m.memory, p.now()-m.at, now) // what can't be right is passed over, as by the process
+		}
+	}
+	book, changed := p.view.view.Book, false
+	for _, id := range book.Names() {
+		if st, ok := p.words[id]; ok {
+			var heard bool
+			book, heard = book.Heard(id, st.Word, now)
+			changed = changed || heard
+		}
+	}
+	read, write := planner.Mean(p.words)
+	var fronts []roles.Front
+	for _, name := range slices.Sorted(maps.Keys(p.counts)) {
+		report := *p.lost.Add(name, p.counts[name], now, read, write)
+		fronts = append(fronts, roles.Front{ID: name, Report: &report})
+	}
+	plan := p.p.Step(now, planner.Engines(p.view.view, p.words, p.places, now, now, now), fronts)
+	for _, id := range plan.CallOff {
+		if b, err := book.CallOff(id, "it took too long, or the work turned"); err == nil {
+			book, changed = b, true
+		}
+	}
+	for _, c := range plan.Changes {
+		if b, err := book.Begin(c.ID, c.To, c.Why); err == nil {
+			book, changed = b, true
+		}
+	}
+	if changed {
+		p.send(p.f.register.id, p.f.hop(p.rnd), writes{p.id, book})
+	} else {
+		p.tell(book)
+	}
+	p.note(plan, book)
+	if p.now()-p.kept >= keepEvery {
+		p.kept = p.now()
+		if m, ok := p.p.Memory(); ok {
+			p.send(p.f.register.id, p.f.hop(p.rnd), left{p.now(), m, true})
+		}
+	}
+}
+
+// tell repeats every order that is not settled.
+func (p *planners) tell(b roles.Book) {
+	tells := map[string]roles.Tell{}
+	for _, t := range b.Tells() {
+		tells[t.ID] = t
+	}
+	for _, e := range p.f.engines {
+		if t, ok := tells[e.name]; ok {
+			p.send(e.id, 3*p.f.hop(p.rnd), tellsRole{t})
+		}
+	}
+}
+
+func (p *planners) note(plan roles.Plan, b roles.Book) {
+	s := Standing{At: p.now(), Reading: plan.Reading, Writing: plan.Writing, Orders: b.Orders}
+	for _, e := range b.Entries {
+		switch {
+		case !e.Open:
+			s.Changing++
+		case e.Role == roles.Reader:
+			s.Readers++
+		case e.Role == roles.Writer:
+			s.Writers++
+		}
+	}
+	p.seen = append(p.seen, s)
+}
--- a/internal/planner/fronts.go
+++ b/internal/planner/fronts.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,28 +18,30 @@
 	"brackenbend/roles"
 )
 
-// lostWork turns fronts' counts of lost requests into work, by what a request takes of the engines by and large.
-type lostWork struct {
+// LostWork turns fronts' counts of lost requests into work, by what a request takes of the engines by and large.
+type LostWork struct {
 	seen   map[string][2]float64 // counts by front and stage, as last read
 	totals map[string]*roles.Report
 }
 
-func newLostWork() lostWork {
-	return lostWork{seen: map[string][2]float64{}, totals: map[string]*roles.Report{}}
+// NewLostWork begins with no counts.
+func NewLostWork() LostWork {
+	return LostWork{seen: map[string][2]float64{}, totals: map[string]*roles.Report{}}
 }
 
-// mean is what one request takes of each stage, in engine seconds, over the lives of all engines that answered.
-func mean(words map[string]Status) (read, write float64) {
+// Mean is what one request takes of each stage, in engine seconds, over the lives of all engines that answered.
+func Mean(words map[string]Status) (read, write float64) {
 	var done, count [2]float64
-	for _, st := range words {
+	for _, id := range slices.Sorted(maps.Keys(words)) { // in one order, so that sums of parts are the same every time
+		st := words[id]
 		done[0], count[0] = done[0]+st.Read.Done, count[0]+st.Read.Count
 		done[1], count[1] = done[1]+st.Write.Done, count[1]+st.Write.Count
 	}
 	return done[0] / max(count[0], 1), done[1] / max(count[1], 1)
 }
 
-// add takes the counts of a front at now: what was lost before it was read would have had to be written too.
-func (l *lostWork) add(front string, counts [2]float64, now time.Duration, read, write float64) *roles.Report {
+// Add takes the counts of a front at now: what was lost before it was read would have had to be written too.
+func (l *LostWork) Add(front string, counts [2]float64, now time.Duration, read, write float64) *roles.Report {
 	was, known := l.seen[front]
 	l.seen[front] = counts
 	t := l.totals[front]
@@ -73,11 +77,11 @@
 		}()
 	}
 	wg.Wait()
-	read, write := mean(r.words)
+	read, write := Mean(r.words)
 	var out []roles.Front
 	for i, addr := range r.Fronts {
 		if counts[i] != nil {
-			report := *r.lost.add(addr, *counts[i], r.now(), read, write)
+			report := *r.lost.Add(addr, *counts[i], r.now(), read, write)
 			out = append(out, roles.Front{ID: addr, Report: &report})
 		}
 	}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -180,7 +180,7 @@
 	start  time.Time
 	places map[string]int
 	words  map[string]Status
-	lost   lostWork
+	lost   LostWork
 	kept   time.Time // when memory was last left
 	asked  bool      // for what a planner before this one left
 }
@@ -210,7 +210,7 @@
 	if r.Metrics == nil {
 		r.Metrics = NewMetrics()
 	}
-	r.start, r.places, r.lost = time.Now(), map[string]int{}, newLostWork()
+	r.start, r.places, r.lost = time.Now(), map[string]int{}, NewLostWork()
 	tick := time.NewTicker(r.Every)
 	defer tick.Stop()
 	for {
@@ -317,23 +317,29 @@
 // wall is the wall clock as the book keeps it.
 func wall() time.Duration { return time.Duration(time.Now().UnixNano()) }
 
-// engines makes the planner's view: what the book says, what the engines said.
+// engines makes the planner's view.
 func (r *Runner) engines(v View, at time.Duration) []roles.Engine {
+	return Engines(v, r.words, r.places, at, r.now(), wall())
+}
+
+// Engines makes a planner's view of what the book says and what the engines said at a time. now is the planner's clock,
+// wall the book's; places keeps numbers for places.
+func Engines(v View, words map[string]Status, places map[string]int, at, now, wall time.Duration) []roles.Engine {
 	var out []roles.Engine
 	for _, id := range v.Book.Names() {
 		b, l := v.Book.Entries[id], v.Listings[id]
-		if _, ok := r.places[l.Place]; !ok {
-			r.places[l.Place] = len(r.places)
+		if _, ok := places[l.Place]; !ok {
+			places[l.Place] = len(places)
 		}
 		e := roles.Engine{ID: id, Role: b.Role, To: b.To, Ready: l.Up && b.Open, CanRead: b.Reads, CanWrite: b.Writes, Pinned: b.Pinned,
-			Place: r.places[l.Place]}
+			Place: places[l.Place]}
 		if !b.Open && b.To == b.Role { // on its way back
 			e.Ready = false
 		}
 		if b.Changed > 0 {
-			e.Changed = max(r.now()-max(wall()-b.Changed, 0), 1)
+			e.Changed = max(now-max(wall-b.Changed, 0), 1)
 		}
-		if st, ok := r.words[id]; ok && l.Up {
+		if st, ok := words[id]; ok && l.Up {
 			e.Held = st.Held
 			e.Report = &roles.Report{At: at, Read: st.Read.plain(), Write: st.Write.plain()}
 		}
