--- a/cmd/brackenbend/load.go
+++ b/cmd/brackenbend/load.go
@@ -28,7 +28,7 @@
 slow answers are, and times count from when a request should have been sent. Clients retry as published SDKs do. Prints
 what each class saw: service, ends, times to the first token, between tokens and to the end. Only loopback addresses are
 taken unless --anywhere is given.`,
-		Example: "  brackenbend up &\n  brackenbend load 127.0.0.1:8080 --model demo --rate 20 --for 20s --html load.html",
+		Example: "  brackenbend up &\n  brackenbend load 127.0.0.1:8080 --model stand-in --rate 20 --for 20s --html load.html",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
 			var from []string
