--- a/cmd/brackenbend/lab_trace.go
+++ b/cmd/brackenbend/lab_trace.go
@@ -18,7 +18,6 @@
 // recording is traffic that was recorded, in place of a day's drawn clients.
 type recording struct {
 	files []string
-	seed  uint64
 }
 
 func (r *recording) flags(f *pflag.FlagSet) {
@@ -54,7 +53,7 @@
 		lists, times, begins = append(lists, list), append(times, n), append(begins, t.Begin)
 	}
 	together(lists, begins)
-	all := scene.Blend(r.seed, lists, times)
+	all := scene.Blend(1, lists, times)
 	if len(all) == 0 {
 		return nil, coded{fmt.Errorf("--trace: no requests in %s", strings.Join(r.files, ", ")), exitConfig}
 	}
--- a/internal/lab/trace/fit.go
+++ b/internal/lab/trace/fit.go
@@ -11,7 +11,6 @@
 
 	"gonum.org/v1/gonum/stat"
 
-	"brackenbend/internal/config"
 	"brackenbend/internal/lab/scene"
 )
 
@@ -137,24 +136,6 @@
 	return v / m
 }
 
-// Apply puts the fitted clients into a day that has classes of the same names.
-func (f *Fitted) Apply(d *scene.Day) error {
-	d.Rate = config.Rate(f.Rate)
-	for i := range d.Classes {
-		d.Classes[i].Share = 0
-	}
-	for _, c := range f.Classes {
-		i := slices.IndexFunc(d.Classes, func(k scene.Class) bool { return k.Name == c.Name })
-		if i < 0 {
-			return fmt.Errorf("trace: the recording has requests of the class %q, the day has no such <class>", c.Name)
-		}
-		k := &d.Classes[i]
-		k.Share, k.Turns, k.Shared, k.Whole = c.Share, c.Turns, c.Shared, c.Whole
-		k.Prompt, k.Beginning, k.Answer = config.Tokens(max(c.Prompt, 1)), config.Tokens(c.Beginning), config.Tokens(max(c.Answer, 1))
-	}
-	return nil
-}
-
 // WriteText prints the <class> attributes, and how well they fit.
 func (f *Fitted) WriteText(out io.Writer) error {
 	fmt.Fprintf(out, "<day rate=\"%.1f/s\" ...>\n", f.Rate)
--- a/internal/lab/trace/trace_test.go
+++ b/internal/lab/trace/trace_test.go
@@ -255,9 +255,6 @@
 	if f.WriteText(&text) != nil || !strings.Contains(text.String(), `class name="b"`) {
 		t.Errorf("%s", text.String())
 	}
-	if err := f.Apply(d); err != nil || math.Abs(float64(d.Rate)-f.Rate) > 1e-9 {
-		t.Errorf("%v %v", d.Rate, err)
-	}
 	if _, err := Fit(&Trace{Requests: tr.Requests[:5]}); err == nil {
 		t.Error("five requests were fitted")
 	}
