--- a/internal/day/roles.go
+++ b/internal/day/roles.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"brackenbend/internal/lab/rolesim"
-	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/planner"
 	"brackenbend/internal/standin/engine"
 	"brackenbend/internal/standin/model"
@@ -28,43 +27,16 @@
 
 // shifting gathers the kinds that shift; with none its kinds are nil.
 func (r *run) shifting() *shift {
-	s := &shift{r: r, params: map[roles.Role]model.Params{}, swap: time.Second}
+	s := &shift{r: r, swap: time.Second}
 	if p := r.d.Planner; p != nil && p.Switch > 0 {
 		s.swap = p.Switch
 	}
-	for _, k := range r.d.Kinds {
-		if !k.Shifts {
-			continue
-		}
-		if s.kinds == nil {
-			s.kinds = map[roles.Role]string{roles.Both: scene.KindBoth}
-		}
-		role := roleOf(k.Role)
-		p := r.d.Params(&k)
-		if role == roles.Writer {
-			p.Reads = r.d.Service.WritersRead
-		}
-		s.params[role], s.kinds[role] = p, k.Name
-	}
-	both := s.params[roles.Writer]
-	both.Reads, both.ReadRate = true, s.params[roles.Reader].ReadRate
-	s.params[roles.Both] = both
+	s.params, s.kinds = r.d.Shifting()
 	return s
 }
 
-func roleOf(s string) roles.Role {
-	switch s {
-	case "reader":
-		return roles.Reader
-	case "writer":
-		return roles.Writer
-	}
-	return roles.Both
-}
-
 // join makes an engine one of those that shift.
-func (s *shift) join(cfg *engine.Config, role string) {
-	r := roleOf(role)
+func (s *shift) join(cfg *engine.Config, r roles.Role) {
 	cfg.Roles, cfg.Seat, cfg.Switch = s.params, roles.Seat{Role: r, To: r}, s.swap
 	s.r.reg.Shift(cfg.Name, r, s.kinds)
 }
@@ -167,18 +139,8 @@
 func (p *planners) note(plan roles.Plan) {
 	b := p.r.reg.Book()
 	s := RoleSecond{At: p.r.rec.Now().Seconds(), Orders: b.Orders, Reading: plan.Reading, Writing: plan.Writing}
-	for _, e := range b.Entries {
-		switch {
-		case !e.Open:
-			s.Changing++
-		case e.Role == roles.Reader:
-			s.Readers++
-		case e.Role == roles.Writer:
-			s.Writers++
-		default:
-			s.Both++
-		}
-	}
+	open, changing := b.Count()
+	s.Readers, s.Writers, s.Both, s.Changing = open[roles.Reader], open[roles.Writer], open[roles.Both], changing
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.seen = append(p.seen, s)
@@ -191,11 +153,7 @@
 func (r *run) force(name string) {
 	c := planner.Client{URL: r.reg.URL(), HTTP: &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}}
 	b, err := c.Update(context.Background(), func(b roles.Book) (roles.Book, error) {
-		to := roles.Reader
-		if b.Entries[name].Role == roles.Reader {
-			to = roles.Writer
-		}
-		return b.Begin(name, to, "forced by the day")
+		return b.Turn(name, "forced by the day")
 	})
 	r.logf("%s forced to %v: %v", name, b.Entries[name].To, err)
 }
--- a/internal/day/run.go
+++ b/internal/day/run.go
@@ -146,7 +146,7 @@
 			cfg := engine.Config{Name: fmt.Sprintf("%s-%d", k.Name, i+1), Kind: k.Name, Zone: "zone-1", Cell: fmt.Sprintf("cell-%d", i%2),
 				Params: r.d.Params(&k), Plain: r.d.Dialect == "vllm", CancelStops: r.d.Service.CancelStops, Group: group, Record: r.rec, Changed: r.listEngine}
 			if k.Shifts {
-				shift.join(&cfg, k.Role)
+				shift.join(&cfg, k.Serves())
 			}
 			addr, err := loopback.Address()
 			if err != nil {
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -66,7 +66,6 @@
 		name    string // of the front, for the record
 		write   bool
 		state   stateAt
-		keyed   bool
 		work    work
 	}
 	// stateAt is where a read state waits; reader -1 = nowhere.
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -97,7 +97,7 @@
 	}
 	if d.Planner != nil {
 		for i := range max(d.Planner.Count, 1) {
-			p := &planners{f: f, rnd: f.rnd(1<<30 + uint64(i)), index: i}
+			p := &planners{f: f, rnd: f.rnd(1<<30 + uint64(i))}
 			f.k.add(p)
 			f.planners = append(f.planners, p)
 			if err := p.start(); err != nil {
--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -42,7 +42,6 @@
 	touched  []*flight         // answered in this step
 	ids      []choice.ServerID // by engine
 	engines  map[choice.ServerID]int
-	open     []bool     // by engine: new work may go there
 	known    []listed   // by engine: as last told
 	lost     [2]float64 // requests that reading, and writing, were short of; since the process began
 }
@@ -118,7 +117,7 @@
 	}
 	x.run++
 	x.up, x.draining, x.next, x.lost = true, false, 0, [2]float64{}
-	x.flights, x.byTry, x.open = map[choice.RequestID]*flight{}, map[uint64]*flight{}, make([]bool, len(x.f.engines))
+	x.flights, x.byTry = map[choice.RequestID]*flight{}, map[uint64]*flight{}
 	x.record(x.now(), audit.Event{Kind: audit.FrontUp, Front: x.name})
 	if x.known != nil { // the list on disk
 		x.list(news{choice.Cached, slices.Clone(x.known)})
@@ -342,7 +341,7 @@
 		id: "f" + strconv.Itoa(x.index+1) + "r" + strconv.Itoa(x.run) + "-" + strconv.FormatUint(uint64(fl.id), 16) + "-" + strconv.Itoa(n)}
 	fl.attempts = append(fl.attempts, at)
 	fl.out++
-	if !x.open[engine] { // told to drain between the decision and the first byte
+	if x.known[engine].state != choice.Ready { // told to drain between the decision and the first byte
 		at.unsent = true
 		x.later(0, deed{x.run, func() { x.over(fl, n, choice.NotSent, false, 0) }})
 		return
@@ -475,7 +474,6 @@
 	ev := choice.ServerList{Scope: n.scope}
 	for _, l := range n.engines {
 		x.known[l.engine] = l
-		x.open[l.engine] = l.state == choice.Ready
 		e := x.f.engines[l.engine]
 		s := choice.Server{ID: x.ids[l.engine], Kind: l.kind, Cell: e.cell, State: l.state}
 		if l.started > 0 {
--- a/internal/lab/fleet/register.go
+++ b/internal/lab/fleet/register.go
@@ -89,7 +89,7 @@
 		r.record(0, audit.Event{Kind: audit.EngineUp, Engine: e.name})
 	}
 	for i := range r.f.fronts {
-		r.tell(i, true)
+		r.tell(i)
 	}
 	hs := slices.Clone(r.f.d.Happens)
 	slices.SortStableFunc(hs, func(a, b scene.Happening) int { return cmp.Compare(a.At, b.At) })
@@ -127,7 +127,7 @@
 		r.lines[m.engine].up, r.lines[m.engine].started = true, m.started
 		r.changed(m.engine)
 	case wants:
-		r.tell(m.front, true)
+		r.tell(m.front)
 	default:
 		r.ofRoles(m)
 	}
@@ -164,15 +164,16 @@
 	if r.cut {
 		return
 	}
+	n := news{choice.Changes, []listed{r.listed(engine)}}
 	for i := range r.f.fronts {
 		if !r.down[i] {
-			r.give(i, news{choice.Changes, []listed{r.listed(engine)}})
+			r.give(i, n)
 		}
 	}
 }
 
 // tell gives a front the whole list.
-func (r *register) tell(front int, now bool) {
+func (r *register) tell(front int) {
 	if r.cut || r.down[front] {
 		return
 	}
@@ -222,7 +223,7 @@
 			r.cut = false
 			for i := range r.f.fronts { // each when its pause is over
 				most := min(h.For, 5*time.Second)
-				r.later(time.Duration(r.links.Float64()*float64(most)), strike{func() { r.tell(i, false) }})
+				r.later(time.Duration(r.links.Float64()*float64(most)), strike{func() { r.tell(i) }})
 			}
 		}
 	case "register-late":
--- a/internal/lab/fleet/roles.go
+++ b/internal/lab/fleet/roles.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"brackenbend/internal/lab/scene"
 	"brackenbend/internal/planner"
 	"brackenbend/internal/standin/model"
 	"brackenbend/roles"
@@ -62,28 +61,18 @@
 
 // shift makes the engines of the kinds that shift ones that may change, and the book that says so.
 func (f *fleet) shift() {
-	params, kinds := map[roles.Role]model.Params{}, map[roles.Role]int{}
-	for i := range f.d.Kinds {
-		k := &f.d.Kinds[i]
-		if !k.Shifts {
-			continue
-		}
-		role, p := roleOf(k), f.d.Params(k)
-		if role == roles.Writer {
-			p.Reads = f.d.Service.WritersRead
-		}
-		params[role], kinds[role] = p, f.set.KindIndex(k.Name)
-	}
-	if len(params) == 0 {
+	params, names := f.d.Shifting()
+	if names == nil {
 		return
 	}
-	both := params[roles.Writer]
-	both.Reads, both.ReadRate = true, params[roles.Reader].ReadRate
-	params[roles.Both], kinds[roles.Both] = both, f.set.KindIndex(scene.KindBoth)
+	kinds := map[roles.Role]int{}
+	for role, name := range names {
+		kinds[role] = f.set.KindIndex(name)
+	}
 	f.register.kinds, f.register.book.Entries = kinds, map[string]roles.Entry{}
 	for _, e := range f.engines {
 		if e.kind.Shifts {
-			r := roleOf(e.kind)
+			r := e.kind.Serves()
 			e.byRole, e.seat = params, roles.Seat{Role: r, To: r}
 			e.becomes(r)
 			e.fresh(0, false)
@@ -92,13 +81,6 @@
 	}
 }
 
-func roleOf(k *scene.Kind) roles.Role {
-	if k.Role == "reader" {
-		return roles.Reader
-	}
-	return roles.Writer
-}
-
 // becomes takes the parameters of a role.
 func (e *engine) becomes(r roles.Role) {
 	if p, ok := e.byRole[r]; ok {
@@ -203,11 +185,7 @@
 
 // force is an operator who forces an engine into the other role, whatever a planner thinks.
 func (r *register) force(name string) {
-	to := roles.Reader
-	if r.book.Entries[name].Role == roles.Reader {
-		to = roles.Writer
-	}
-	if b, err := r.book.Begin(name, to, "forced by the day"); err == nil {
+	if b, err := r.book.Turn(name, "forced by the day"); err == nil {
 		b.Version++
 		r.write(b)
 	}
@@ -222,9 +200,8 @@
 // planners are one planner's process.
 type planners struct {
 	base
-	f     *fleet
-	rnd   *rand.Rand
-	index int
+	f   *fleet
+	rnd *rand.Rand
 
 	run    int // of its process
 	up     bool
@@ -325,17 +302,8 @@
 		fronts = append(fronts, roles.Front{ID: name, Report: &report})
 	}
 	plan := p.p.Step(now, planner.Engines(p.view.view, p.words, p.places, now, now, now), fronts)
-	for _, id := range plan.CallOff {
-		if b, err := book.CallOff(id, "it took too long, or the work turned"); err == nil {
-			book, changed = b, true
-		}
-	}
-	for _, c := range plan.Changes {
-		if b, err := book.Begin(c.ID, c.To, c.Why); err == nil {
-			book, changed = b, true
-		}
-	}
-	if changed {
+	book, done, _ := book.Carry(plan)
+	if changed || len(done.CallOff)+len(done.Changes) > 0 {
 		p.send(p.f.register.id, p.f.hop(p.rnd), writes{p.id, book})
 	} else {
 		p.tell(book)
@@ -364,15 +332,7 @@
 
 func (p *planners) note(plan roles.Plan, b roles.Book) {
 	s := Standing{At: p.now(), Reading: plan.Reading, Writing: plan.Writing, Orders: b.Orders}
-	for _, e := range b.Entries {
-		switch {
-		case !e.Open:
-			s.Changing++
-		case e.Role == roles.Reader:
-			s.Readers++
-		case e.Role == roles.Writer:
-			s.Writers++
-		}
-	}
+	open, changing := b.Count()
+	s.Readers, s.Writers, s.Changing = open[roles.Reader], open[roles.Writer], changing
 	p.seen = append(p.seen, s)
 }
--- a/internal/lab/scene/settings.go
+++ b/internal/lab/scene/settings.go
@@ -8,6 +8,7 @@
 
 	"brackenbend/internal/config"
 	"brackenbend/internal/standin/model"
+	"brackenbend/roles"
 )
 
 // KindBoth is the kind of an engine that does both because nothing else is left.
@@ -68,3 +69,38 @@
 	fmt.Fprintf(&b, "  <register url=%q namespace=\"default\" label-selector=\"app=engines\" cache=%q/>\n</brackenbend>\n", register, esc(cache))
 	return b.String()
 }
+
+// Shifting is what engines that change role are in each of them, and the kind that they are listed as; nil where none do.
+func (d *Day) Shifting() (params map[roles.Role]model.Params, kinds map[roles.Role]string) {
+	for i := range d.Kinds {
+		k := &d.Kinds[i]
+		if !k.Shifts {
+			continue
+		}
+		if kinds == nil {
+			params, kinds = map[roles.Role]model.Params{}, map[roles.Role]string{roles.Both: KindBoth}
+		}
+		role, p := k.Serves(), d.Params(k)
+		if role == roles.Writer {
+			p.Reads = d.Service.WritersRead
+		}
+		params[role], kinds[role] = p, k.Name
+	}
+	if kinds != nil {
+		both := params[roles.Writer]
+		both.Reads, both.ReadRate = true, params[roles.Reader].ReadRate
+		params[roles.Both] = both
+	}
+	return params, kinds
+}
+
+// Serves is the role that engines of the kind begin in.
+func (k *Kind) Serves() roles.Role {
+	switch k.Role {
+	case "reader":
+		return roles.Reader
+	case "writer":
+		return roles.Writer
+	}
+	return roles.Both
+}
--- a/internal/planner/planner.go
+++ b/internal/planner/planner.go
@@ -257,25 +257,19 @@
 		r.Planned(plan)
 	}
 	r.Metrics.plan(plan, book)
-	changed := settled
-	for _, id := range plan.CallOff {
-		if b, err := book.CallOff(id, "it took too long, or the work turned"); err == nil {
-			book, changed = b, true
-			r.Metrics.calledOff.Inc()
-			r.Log.Info("called off", zap.String("engine", id))
-		}
+	book, done, refused := book.Carry(plan)
+	for _, id := range done.CallOff {
+		r.Metrics.calledOff.Inc()
+		r.Log.Info("called off", zap.String("engine", id))
 	}
-	for _, c := range plan.Changes {
-		b, err := book.Begin(c.ID, c.To, c.Why)
-		if err != nil {
-			r.Log.Warn("change refused", zap.String("engine", c.ID), zap.Error(err))
-			continue
-		}
-		book, changed = b, true
+	for _, c := range done.Changes {
 		r.Metrics.changes.WithLabelValues(c.To.String()).Inc()
 		r.Log.Info("change", zap.String("engine", c.ID), zap.Stringer("to", c.To), zap.String("why", c.Why))
 	}
-	if changed {
+	for id, err := range refused {
+		r.Log.Warn("change refused", zap.String("engine", id), zap.Error(err))
+	}
+	if settled || len(done.CallOff)+len(done.Changes) > 0 {
 		if book, err = r.Register.Write(ctx, book); err != nil {
 			return err // nothing is told that is not written
 		}
--- a/roles/life.go
+++ b/roles/life.go
@@ -214,3 +214,43 @@
 
 // Names are the engines of the book, in order.
 func (b Book) Names() []string { return slices.Sorted(maps.Keys(b.Entries)) }
+
+// Carry writes a plan into the book, as far as the book lets it: done is what it took, refused why it did not take a change.
+func (b Book) Carry(p Plan) (next Book, done Plan, refused map[string]error) {
+	for _, id := range p.CallOff {
+		if n, err := b.CallOff(id, "it took too long, or the work turned"); err == nil {
+			b, done.CallOff = n, append(done.CallOff, id)
+		}
+	}
+	refused = map[string]error{}
+	for _, c := range p.Changes {
+		n, err := b.Begin(c.ID, c.To, c.Why)
+		if err != nil {
+			refused[c.ID] = err
+			continue
+		}
+		b, done.Changes = n, append(done.Changes, c)
+	}
+	return b, done, refused
+}
+
+// Turn orders an engine that reads to write, and any other to read.
+func (b Book) Turn(id, why string) (Book, error) {
+	to := Reader
+	if b.Entries[id].Role == Reader {
+		to = Writer
+	}
+	return b.Begin(id, to, why)
+}
+
+// Count is how many engines are open in each role, and how many are not.
+func (b Book) Count() (open [3]int, changing int) {
+	for _, e := range b.Entries {
+		if e.Open {
+			open[e.Role]++
+		} else {
+			changing++
+		}
+	}
+	return open, changing
+}
--- a/roles/life_test.go
+++ b/roles/life_test.go
@@ -339,3 +339,23 @@
 		t.Errorf("%+v", e)
 	}
 }
+
+// TestCarryTakesWhatTheBookLets: a plan's changes one by one; what is refused is told and changes nothing.
+func TestCarryTakesWhatTheBookLets(t *testing.T) {
+	b := Book{Entries: map[string]Entry{"a": {Role: Reader, To: Reader, Open: true, Reads: true, Writes: true},
+		"b": {Role: Reader, To: Reader, Open: true, Reads: true, Writes: true}, "c": {Role: Writer, To: Writer, Open: true, Reads: true, Writes: true}}}
+	next, done, refused := b.Carry(Plan{CallOff: []string{"a"}, Changes: []Change{{ID: "a", To: Writer}, {ID: "b", To: Writer}, {ID: "x", To: Reader}, {ID: "c", To: Reader}}})
+	open, changing := next.Count()
+	if len(done.CallOff) != 0 || len(done.Changes) != 2 || !errors.Is(refused["b"], ErrLast) || !errors.Is(refused["x"], ErrUnknown) || len(refused) != 2 {
+		t.Errorf("%+v %v", done, refused)
+	}
+	if changing != 2 || open != [3]int{1, 0, 0} || len(b.Tells()) != 0 {
+		t.Errorf("%v open, %d changing", open, changing)
+	}
+	if n, err := next.Turn("b", "test"); err != nil || n.Entries["b"].To != Writer {
+		t.Errorf("%+v %v", n.Entries["b"], err)
+	}
+	if _, err := b.Turn("c", "test"); !errors.Is(err, ErrLast) {
+		t.Errorf("the last writer was turned: %v", err)
+	}
+}
