Laboratory: oracles that tell apart what fronts lose by being many, lab causes

Need: operators see service fall with the number of fronts, and nobody could say which want of knowledge costs how much.

--- /dev/null
+++ b/internal/lab/causes/causes_test.go
@@ -0,0 +1,57 @@
+package causes
+
+import (
+	"strings"
+	"testing"
+
+	"brackenbend/internal/lab/scene"
+)
+
+// TestCrowdedReadersAreNamed: on a calm day near its capacity, with beginnings shared by many, only crowding costs.
+func TestCrowdedReadersAreNamed(t *testing.T) {
+	d, err := scene.Parse("calm.xml", []byte(`<day length="8s" rate="150/s" fronts="2" seed="3">
+  <service max-attempts="4" release-within="500ms" drain-grace="500ms" cold-from="0.25" cold-for="4s" overload-factor="4"
+    tip-after="2s" writers-read="true" cancel="true" client-retries="1"/>
+  <engines kind="prefill" role="reader" count="5" slots="8" queue="40" memory="250000tokens" read-rate="20000/s"/>
+  <engines kind="decode" role="writer" count="12" slots="48" queue="24" memory="180000tokens" read-rate="7000/s" step="20ms"
+    step-per-stream="200us" fetch-rate="250000/s"/>
+  <class name="enquiry" effect="safe" share="1" aim="250ms" deadline="5s" late-worth="0.3" prompt="300tokens" beginning="2000tokens"
+    beginning-share="0.8" answer="60tokens"/></day>`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	sizes, err := Run(Plan{Day: d, Fronts: []int{2, 24}, Runs: 3, AtOnce: 2, Level: 0.9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	if err := Write(&b, sizes); err != nil {
+		t.Fatal(err)
+	}
+	t.Log("\n" + b.String())
+	many := sizes[1]
+	crowded := many.Alone["crowded readers"].Mean
+	for name, g := range many.Alone {
+		if name != "crowded readers" && g.Mean > crowded/2 {
+			t.Errorf("%s wins %v, crowded readers %.3f", name, g, crowded)
+		}
+	}
+	if crowded < 0.004 || many.Alone["cold budgets"].Mean != 0 || many.Alone["sparse evidence of harm"].Mean != 0 {
+		t.Errorf("%+v", many)
+	}
+	if many.Knows < many.AsIs || sizes[0].Fronts != 2 || !strings.Contains(b.String(), "only crowded readers") {
+		t.Errorf("%+v", sizes)
+	}
+}
+
+func TestPlanIsChecked(t *testing.T) {
+	d, err := scene.Default()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, p := range []Plan{{Day: d, Runs: 2, Fronts: []int{3}, Level: 0.9}, {Day: d, Runs: 3, Level: 0.9}, {Day: d, Runs: 3, Fronts: []int{3}}} {
+		if _, err := Run(p); err == nil {
+			t.Errorf("%+v taken", p)
+		}
+	}
+}
--- a/internal/lab/fleet/engine.go
+++ b/internal/lab/fleet/engine.go
@@ -36,6 +36,7 @@
 
 	reads, writes int
 	moved         float64
+	coming        coming // by oracles
 
 	byRole    map[roles.Role]model.Params // where it may change; nil = it stays
 	seat      roles.Seat
@@ -140,6 +141,8 @@
 		e.took(m)
 	case harm:
 		e.harm(m)
+	case arrived:
+		e.hasArrived(m)
 	case tellsRole:
 		if _, can := e.byRole[m.tell.To]; can && e.up {
 			e.seat = e.seat.Take(m.tell)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -38,6 +38,8 @@
 	Audit  bool          // judge the rules, which keeps a record of all that passes
 	// Traffic is played in place of the day's drawn sessions, where it is given.
 	Traffic []scene.Recorded
+	// Oracles tell fronts what they can't know.
+	Oracles Oracles
 	// Settings are the fronts', in place of those that the day makes; kinds and classes must have the day's names.
 	Settings *config.Settings
 	// Decider makes what decides for a front; nil = choice.New.
@@ -73,6 +75,10 @@
 		f.set = o.Settings
 	}
 	f.cs = f.set.Choice()
+	if err := o.Oracles.check(o.Shards); err != nil {
+		return nil, err
+	}
+	o.Oracles.settings(&f.cs)
 	f.clients = newClients(f)
 	f.k.add(f.clients)
 	f.register = newRegister(f)
--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -69,6 +69,7 @@
 
 type attempt struct {
 	engine   int
+	picked   int // by the module; another one but by an oracle
 	write    bool
 	id       string
 	began    time.Duration
@@ -334,10 +335,11 @@
 
 // launch starts an attempt.
 func (x *front) launch(a choice.Send) {
-	fl, engine := x.flights[a.Request], x.engines[a.Server]
+	fl, picked := x.flights[a.Request], x.engines[a.Server]
+	engine := x.better(fl, picked)
 	e := x.f.engines[engine]
 	n := len(fl.attempts)
-	at := &attempt{engine: engine, write: x.f.cs.Kinds[x.known[engine].kind].Role != choice.Reader, began: x.now(),
+	at := &attempt{engine: engine, picked: picked, write: x.f.cs.Kinds[x.known[engine].kind].Role != choice.Reader, began: x.now(),
 		id: "f" + strconv.Itoa(x.index+1) + "r" + strconv.Itoa(x.run) + "-" + strconv.FormatUint(uint64(fl.id), 16) + "-" + strconv.Itoa(n)}
 	fl.attempts = append(fl.attempts, at)
 	fl.out++
@@ -358,7 +360,7 @@
 	}
 	x.send(e.id, after, s)
 	end := fl.due
-	if a.Timeout > 0 {
+	if a.Timeout > 0 && !(x.f.o.Oracles.Waits && e.sound()) {
 		end = min(end, x.now()+a.Timeout)
 	}
 	x.later(end-x.now(), limit{x.run, fl.id, n})
@@ -425,7 +427,7 @@
 	if fl.msg.stream {
 		x.send(x.f.clients.id, x.f.hop(x.rnd), begins{fl.msg.try})
 	}
-	x.step(choice.First{Request: fl.id, Attempt: m.attempt, Server: x.ids[at.engine], Elapsed: x.now() - at.began})
+	x.step(choice.First{Request: fl.id, Attempt: m.attempt, Server: x.ids[at.picked], Elapsed: x.now() - at.began})
 }
 
 func (x *front) ended(m ended) {
@@ -461,7 +463,7 @@
 		at.released = true
 		x.release(at)
 	}
-	x.step(choice.Outcome{Request: fl.id, Attempt: n, Server: x.ids[at.engine], Elapsed: x.now() - at.began, Over: over, Result: result,
+	x.step(choice.Outcome{Request: fl.id, Attempt: n, Server: x.ids[at.picked], Elapsed: x.now() - at.began, Over: over, Result: result,
 		NoState: noState, Kept: kept})
 	x.tidy(fl)
 }
--- /dev/null
+++ b/internal/lab/fleet/oracle_test.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"testing"
+
+	"brackenbend/internal/lab/scene"
+)
+
+// small is a day of 12 fronts at 9 engines, whose shared beginnings crowd some readers.
+const small = `<day length="12s" rate="150/s" fronts="12" seed="3">
+  <service max-attempts="4" release-within="500ms" drain-grace="500ms" cold-from="0.25" cold-for="4s" overload-factor="4"
+    tip-after="2s" writers-read="true" cancel="true" client-retries="1"/>
+  <engines kind="prefill" role="reader" count="5" slots="8" queue="40" memory="250000tokens" read-rate="20000/s"/>
+  <engines kind="decode" role="writer" count="6" slots="48" queue="24" memory="180000tokens" read-rate="7000/s" step="20ms"
+    step-per-stream="200us" fetch-rate="250000/s"/>
+  <class name="enquiry" effect="safe" share="0.7" aim="400ms" deadline="5s" late-worth="0.3" prompt="300tokens"
+    beginning="2000tokens" beginning-share="0.8" answer="60tokens"/>
+  <class name="order" effect="unsafe" share="0.3" aim="800ms" deadline="8s" worth="2" late-worth="0.3" prompt="1200tokens" answer="40tokens"/>
+  `
+
+func smallDay(t *testing.T, happens string) *scene.Day {
+	t.Helper()
+	d, err := scene.Parse("small.xml", []byte(small+happens+"</day>"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+// TestOraclesWinBackWhatTheyKnow: each oracle helps on a day that lacks what it knows, and no rule breaks by it.
+func TestOraclesWinBackWhatTheyKnow(t *testing.T) {
+	tests := []struct {
+		name, happens string
+		o             Oracles
+		least         float64
+	}{
+		{"reads", "", Oracles{Reads: true}, 0.02},
+		{"writes", `<happen at="2s" what="surge" factor="1.5" for="6s"/>`, Oracles{Reads: true, Writes: true}, 0.02},
+		{"health", `<happen at="2s" what="stall" kind="decode" count="2" for="8s"/>`, Oracles{Health: true}, 0.02},
+		{"cold", `<happen at="1s" what="crash" kind="prefill" count="3" for="2s"/>`, Oracles{Cold: true}, 0.02},
+	}
+	for _, tc := range tests {
+		d := smallDay(t, tc.happens)
+		without := play(t, d, Options{Seed: 1, Audit: true})
+		with := play(t, d, Options{Seed: 1, Audit: true, Oracles: tc.o})
+		t.Logf("%s: %.3f without, %.3f with", tc.name, without.Score.Service(), with.Score.Service())
+		if with.Score.Service() < without.Score.Service()+tc.least {
+			t.Errorf("%s: %.3f without, %.3f with", tc.name, without.Score.Service(), with.Score.Service())
+		}
+		for i, v := range with.Rules {
+			if len(v.Breaches) > 0 {
+				t.Errorf("%s: rule %d: %.300v", tc.name, i+1, v.Breaches)
+			}
+		}
+	}
+}
+
+func TestOraclesNeedOneShard(t *testing.T) {
+	if _, err := Run(smallDay(t, ""), Options{Shards: 2, Oracles: Oracles{Reads: true}}); err == nil {
+		t.Fatal("played on two shards")
+	}
+}
+
+// TestHealthOracleLeavesEnough: where more than half of a kind does harm, none is taken off the list.
+func TestHealthOracleLeavesEnough(t *testing.T) {
+	d := smallDay(t, `<happen at="2s" what="slow" kind="decode" count="4" factor="3" for="6s"/>`)
+	with, without := play(t, d, Options{Seed: 1, Oracles: Oracles{Health: true}}), play(t, d, Options{Seed: 1})
+	if with.Score.Service() != without.Score.Service() || with.Events != without.Events {
+		t.Errorf("%.4f with, %.4f without", with.Score.Service(), without.Score.Service())
+	}
+}
--- a/internal/lab/fleet/register.go
+++ b/internal/lab/fleet/register.go
@@ -37,6 +37,7 @@
 	up, unlisted, draining bool
 	started                time.Duration // 0 = long ago
 	faulty                 int
+	harmful                bool // the health oracle tells fronts so
 }
 
 // What the register says to others.
@@ -153,7 +154,7 @@
 	switch l := &r.lines[i]; {
 	case l.unlisted || !l.up:
 		return choice.Gone
-	case l.draining:
+	case l.draining || l.harmful:
 		return choice.Draining
 	}
 	return choice.Ready
@@ -244,14 +245,23 @@
 		return nil
 	}
 	picked := r.pick(h)
+	told := r.tellsHarm(h, len(picked))
 	for _, i := range picked {
 		r.lines[i].faulty++
+		if told {
+			r.lines[i].harmful = true
+			r.changed(i)
+		}
 		r.harm(i, h, true)
 	}
 	return func() {
 		for _, i := range picked {
 			r.harm(i, h, false)
 			r.lines[i].faulty--
+			if told {
+				r.lines[i].harmful = false
+				r.changed(i)
+			}
 		}
 	}
 }
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -546,6 +546,39 @@
 // Holds tells whether a read state waits under this id.
 func (e *Engine) Holds(id string) bool { return e.states[id] != nil }
 
+// Ahead is the reading, in seconds of the whole engine at full capacity, that is to be done until a job's prompt would be
+// read if it came now, its own included.
+func (e *Engine) Ahead(j *Job) float64 {
+	sum, _ := e.needs(j)
+	for _, list := range [2][]*Job{e.queue, e.running} {
+		for _, o := range list {
+			switch {
+			case o.state == waiting:
+				read, _ := e.needs(o)
+				sum += read
+			case o.state == reading:
+				sum += o.left / e.p.ReadRate
+			}
+		}
+	}
+	return sum
+}
+
+// Near tells that a cold engine with j would have been sent more than a part of what tips it over.
+func (e *Engine) Near(j *Job, part float64) bool {
+	if e.Present() >= 1 || e.p.Overload <= 0 || e.p.TipAfter <= 0 {
+		return false
+	}
+	read, write := e.needs(j)
+	sum := read + write
+	for _, s := range e.sent {
+		if e.now-s.at <= e.p.TipAfter {
+			sum += s.work
+		}
+	}
+	return sum > part*e.p.Overload*e.Present()*e.p.TipAfter.Seconds()
+}
+
 // Working is the number of jobs that wait or run.
 func (e *Engine) Working() int { return len(e.queue) + len(e.running) }
 
