--- a/choice/choice.go
+++ b/choice/choice.go
@@ -26,8 +26,7 @@
 	slowFrom     = 1.5                    // a reader so many times slower than the mean passes some on
 	homedPrior   = 1.0                    // requests that each is taken to be home to before any is seen
 	homedFor     = 30 * time.Second       // how long they count
-	homesPart    = 3.0                    // readers for a prefix, for each even part of the requests ...
-	homesMost    = 0.2                    // ... but no more than this part of them, and one
+	homesPart    = 3.0                    // readers for a prefix, for each even part of the requests
 	keysFade     = 20 * time.Second       // counts of prefixes seen are halved this often
 	spillMost    = 2                      // servers of the hash order that may read a prefix
 	memoryShare  = 0.95                   // part of its share of a writer's memory that a front fills
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -195,6 +195,7 @@
 		servers = append(servers, reader(id))
 	}
 	g := newRig(t, testSettings(), servers...)
+	g.r.keysAll = 1e4 // it is a small part of what was seen
 	used := map[ServerID]bool{}
 	for id := RequestID(1); id <= 60; id++ {
 		for _, s := range pick[Send](g.after(ms, g.request(id, 0, 3000))) {
@@ -212,6 +213,7 @@
 		servers = append(servers, reader(id))
 	}
 	g := newRig(t, testSettings(), servers...)
+	g.r.keysAll = 1e4 // the prefix is a small part of what was seen, so it has one home
 	used := map[ServerID]bool{}
 	for id := RequestID(1); id <= 20; id++ {
 		for _, s := range pick[Send](g.after(ms, g.request(id, 0, 3000))) {
--- a/choice/placing.go
+++ b/choice/placing.go
@@ -98,7 +98,7 @@
 // see about the same.
 func (r *Router) homes(key uint64, readers float64) int {
 	popular := max(r.keys[key]-1, 0) / (r.keysAll + 5)
-	return 1 + int(min(popular*homesPart, homesMost)*readers)
+	return 1 + int(min(popular*homesPart, 1)*readers)
 }
 
 // seeKey counts the key of a new request; counts are halved now and then, so that old ones fade.
