Emulator: flapping, stale and compacted lists, slow readers; every happening is played

Change: the register takes a flapping engine off and on every 300 ms, forgets its history, removes for a stale word; a slow client ends when it has read (scene.ReadsSlowly, one figure for sockets and emulator). Load reports change no decision, so nothing is sent for them.

--- a/cmd/brackenbend/lab_day.go
+++ b/cmd/brackenbend/lab_day.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"os"
 	"runtime"
-	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -98,9 +97,6 @@
 				}
 				breaches += len(v.Breaches)
 			}
-			if len(r.LeftOut) > 0 {
-				fmt.Fprintf(out, "not played here: %s\n", strings.Join(r.LeftOut, ", "))
-			}
 			var m runtime.MemStats
 			runtime.ReadMemStats(&m)
 			fmt.Fprintf(os.Stderr, "%d events in %v: %.0f a second, %.0f us a request, %d MiB\n", r.Events, took.Round(time.Millisecond), float64(r.Events)/took.Seconds(),
--- a/internal/day/traffic.go
+++ b/internal/day/traffic.go
@@ -88,7 +88,7 @@
 		try.Key = fmt.Sprintf("key-%d-%s", t.r.d.Seed, effect)
 	}
 	if s.Slow {
-		try.SlowBy = 50 * time.Millisecond
+		try.SlowBy = scene.ReadsSlowly
 	}
 	began := time.Now()
 	for {
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -44,7 +44,9 @@
 	front int
 	sent  time.Duration
 	first time.Duration // 0 = none yet
+	out   int           // tokens of the answer
 	hung  bool          // it leaves by itself
+	slow  time.Duration // until when it reads what has come; 0 = it keeps up
 }
 
 // What clients and fronts say to each other. Messages are not changed once they are sent.
@@ -153,6 +155,7 @@
 	if class.Effect == "keyed" {
 		tr.IdempotencyKey = intent
 	}
+	x.out = w.out
 	c.tries[x.n] = x
 	front := c.f.fronts[x.front]
 	c.send(front.id, 3*c.f.hop(c.rnd), asks{x.n, tr, s.Stream, class.Deadline, w})
@@ -191,6 +194,12 @@
 	if x == nil {
 		return
 	}
+	if s := x.t.s; s.Slow && s.Stream && m.kind == "served" && x.slow == 0 {
+		if x.slow = x.first + time.Duration(x.out)*scene.ReadsSlowly; x.slow > c.now() {
+			c.later(x.slow-c.now(), m)
+			return
+		}
+	}
 	switch m.kind {
 	case "unconnected":
 		c.record(c.now(), audit.Event{Kind: audit.Unsent, Try: x.id, Front: c.f.fronts[x.front].name})
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -4,10 +4,10 @@
 // (internal/audit). Engines change role by package roles and the view of internal/planner. It opens no sockets and reads
 // no clock.
 //
-// What differs from sockets: links take the same time whatever they carry, and a front's own work takes none beside it;
-// slow readers, load reports and the register's flapping, compacted and stale answers are left out, planners look at what
-// was answered half a look before, and a front that was
-// cut off from the register comes back to it after an even draw up to the time of its longest pause.
+// What differs from sockets: links take the same time whatever they carry, and a front's own work takes none beside it; a
+// client that reads slowly holds up nobody but itself; load reports, by which no front decides, and old words of the register,
+// which fronts pass over, are not sent; planners look at what was answered half a look before, and a front that was cut off
+// from the register comes back to it after an even draw up to the time of its longest pause.
 package fleet
 
 import (
@@ -52,7 +52,6 @@
 	Rules    []audit.Verdict // where they were judged
 	Attempts map[string]int  // reads and writes that reached engines
 	Events   int64           // played
-	LeftOut  []string        // happenings that are not played here
 	Moved    float64         // state tokens that writers fetched
 	Roles    []Standing      // where engines change role: each look of the first planner
 }
@@ -168,7 +167,7 @@
 }
 
 func (f *fleet) result() *Result {
-	r := &Result{Score: f.clients.score, Attempts: map[string]int{}, LeftOut: f.register.leftOut}
+	r := &Result{Score: f.clients.score, Attempts: map[string]int{}}
 	for _, n := range slices.Sorted(maps.Keys(f.clients.tries)) {
 		f.clients.taken(f.clients.tries[n])
 	}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"reflect"
 	"strings"
 	"testing"
@@ -205,3 +206,66 @@
 		e.send((e.id+5)%8, time.Duration(n)*300*time.Microsecond, n+1)
 	}
 }
+
+// TestFlappingEngineIsListedAgain: an engine that flaps goes off the list and comes back, and is on it when that ends.
+func TestFlappingEngineIsListedAgain(t *testing.T) {
+	flap := smallDay(t, `<happen at="2s" what="register-flap" kind="decode" count="2" for="4s"/>`)
+	r := play(t, flap, Options{Seed: 1, Audit: true})
+	calm := play(t, smallDay(t, ""), Options{Seed: 1, Audit: true})
+	if told := r.Rules[2].Checks; told <= 0 || len(r.Rules[2].Breaches) > 0 {
+		t.Errorf("third rule: %+v", r.Rules[2])
+	}
+	if math.Abs(r.Score.Service()-calm.Score.Service()) > 0.05 || r.Events == calm.Events {
+		t.Errorf("service %.3f with flapping, %.3f without", r.Score.Service(), calm.Score.Service())
+	}
+	var f fleet
+	f.k = newKernel(1, time.Millisecond)
+	reg := &register{f: &f, lines: make([]line, 1)}
+	f.k.add(reg)
+	f.engines = []*engine{{kind: &flap.Kinds[0]}}
+	seen := []bool{}
+	reg.lines[0].flaps = 1
+	reg.cut = true // nobody is told
+	reg.flap(0, 1)
+	for range 4 {
+		seen = append(seen, reg.lines[0].unlisted)
+		f.k.shards[0].play(f.k.shards[0].now + flapEvery + 1)
+	}
+	reg.lines[0].flaps++
+	reg.flap(0, 2)
+	f.k.shards[0].play(time.Minute)
+	if !reflect.DeepEqual(seen, []bool{true, false, true, false}) || reg.lines[0].unlisted {
+		t.Errorf("off the list %v, then %v", seen, reg.lines[0].unlisted)
+	}
+}
+
+// TestSlowReadersTakeLonger: the next turn of a slow client's session comes later, and nobody else is held up.
+func TestSlowReadersTakeLonger(t *testing.T) {
+	slow := play(t, smallDay(t, `<happen at="0s" what="slow-readers" part="1" for="12s"/>`), Options{Seed: 1, Audit: true})
+	calm := play(t, smallDay(t, ""), Options{Seed: 1, Audit: true})
+	if math.Abs(slow.Score.Service()-calm.Score.Service()) > 1e-9 {
+		t.Errorf("service %.4f with slow readers, %.4f without", slow.Score.Service(), calm.Score.Service())
+	}
+	for i, v := range slow.Rules {
+		if len(v.Breaches) > 0 {
+			t.Errorf("rule %d: %.200v", i+1, v.Breaches)
+		}
+	}
+	d := smallDay(t, "")
+	d.Happens = nil
+	f := &fleet{d: d, k: newKernel(1, time.Millisecond), fronts: []*front{{}}}
+	c := &clients{f: f, score: d.Score(), tries: map[uint64]*try{}}
+	f.k.add(c)
+	s := d.Arrivals().Next(&scene.Mood{Surge: 1})
+	s.Slow, s.Stream = true, true
+	c.open = 1
+	c.tries[1] = &try{n: 1, t: &talk{s: s}, out: 40, first: 1}
+	c.answered(answers{try: 1, kind: "served"})
+	if len(c.tries) != 1 {
+		t.Fatal("its answer had ended before it was read")
+	}
+	f.k.shards[0].play(40*scene.ReadsSlowly + 2)
+	if len(c.tries) != 0 {
+		t.Fatal("its answer never ended")
+	}
+}
--- a/internal/lab/fleet/register.go
+++ b/internal/lab/fleet/register.go
@@ -17,19 +17,18 @@
 type register struct {
 	base
 	tap
-	f       *fleet
-	rnd     *rand.Rand // the script's draws, as on sockets
-	links   *rand.Rand
-	lines   []line
-	late    time.Duration
-	cut     bool
-	down    map[int]bool    // fronts
-	wrote   []time.Duration // by front: when the newest word was written to it, and when it is heard
-	heard   []time.Duration
-	leftOut []string
-	book    roles.Book
-	kinds   map[roles.Role]int // where engines change role
-	memory  left
+	f      *fleet
+	rnd    *rand.Rand // the script's draws, as on sockets
+	links  *rand.Rand
+	lines  []line
+	late   time.Duration
+	cut    bool
+	down   map[int]bool    // fronts
+	wrote  []time.Duration // by front: when the newest word was written to it, and when it is heard
+	heard  []time.Duration
+	book   roles.Book
+	kinds  map[roles.Role]int // where engines change role
+	memory left
 }
 
 // line is what the register knows of an engine.
@@ -38,6 +37,7 @@
 	started                time.Duration // 0 = long ago
 	faulty                 int
 	harmful                bool // the health oracle tells fronts so
+	flaps                  int  // counts beginnings and ends of flapping; it flaps while odd
 }
 
 // What the register says to others.
@@ -97,10 +97,7 @@
 	for i := range hs {
 		h := &hs[i]
 		calm := scene.Calm()
-		if calm.Change(h) != nil {
-			if h.What == "slow-readers" {
-				r.leaveOut(h)
-			}
+		if calm.Change(h) != nil { // the clients' own
 			continue
 		}
 		r.later(h.At, strike{func() {
@@ -111,12 +108,6 @@
 	}
 }
 
-func (r *register) leaveOut(h *scene.Happening) {
-	if !slices.Contains(r.leftOut, h.What) {
-		r.leftOut = append(r.leftOut, h.What)
-	}
-}
-
 func (r *register) take(m any) {
 	switch m := m.(type) {
 	case strike:
@@ -230,9 +221,9 @@
 	case "register-late":
 		r.late = h.Late
 		return func() { r.late = 0 }
-	case "register-compact", "register-stale", "register-flap", "reports-frozen", "reports-none":
-		if h.What != "register-compact" { // which a front does not feel but by a new list
-			r.leaveOut(h)
+	case "register-compact": // watches end, and fronts ask for the whole list
+		for i := range r.f.fronts {
+			r.tell(i)
 		}
 		return nil
 	case "planner-stop":
@@ -273,10 +264,16 @@
 		l.draining = on
 		r.changed(i)
 		return
-	case "remove":
+	case "remove", "register-stale": // the old word that comes after a removal is older than what fronts know, and passed over
 		l.unlisted = on
 		r.changed(i)
 		return
+	case "register-flap":
+		l.flaps++
+		r.flap(i, l.flaps)
+		return
+	case "reports-frozen", "reports-none": // no front decides by them
+		return
 	case "crash":
 		if on { // the register hears of a process's end as soon as others do
 			l.up = false
@@ -286,6 +283,24 @@
 	r.send(r.f.engines[i].id, r.f.hop(r.links), harm{h.What, on, h.Part, h.Factor, h.Class})
 }
 
+// flapEvery is how often a flapping engine comes onto the list or goes off it.
+const flapEvery = 300 * time.Millisecond
+
+// flap takes an engine off the list or puts it back, and again while it flaps.
+func (r *register) flap(i, of int) {
+	l := &r.lines[i]
+	switch {
+	case l.flaps != of:
+		return
+	case of%2 == 0:
+		l.unlisted = false
+	default:
+		l.unlisted = !l.unlisted
+		r.later(flapEvery, strike{func() { r.flap(i, of) }})
+	}
+	r.changed(i)
+}
+
 // fronts kills or stops some.
 func (r *register) fronts(h *scene.Happening) func() {
 	var picked []int
--- a/internal/lab/scene/clients.go
+++ b/internal/lab/scene/clients.go
@@ -21,6 +21,9 @@
 	Slow      float64 // part of clients that read slowly
 }
 
+// ReadsSlowly is how long a slow client pauses after each token of a stream.
+const ReadsSlowly = 50 * time.Millisecond
+
 // Calm is a mood in which nothing happens.
 func Calm() Mood { return Mood{Surge: 1} }
 
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -217,7 +217,7 @@
 		t.Key = fmt.Sprintf("load-%d-%s", r.began.UnixNano(), t.Effect)
 	}
 	if s.Slow {
-		t.SlowBy = 50 * time.Millisecond
+		t.SlowBy = scene.ReadsSlowly
 	}
 	for {
 		front := r.p.Fronts[s.Front(len(r.p.Fronts))]
