--- a/cmd/brackenbend/lab_day.go
+++ b/cmd/brackenbend/lab_day.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"runtime"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -89,6 +91,9 @@
 				return err
 			}
 			fmt.Fprintf(out, "\n%d reads and %d writes reached engines, %.0f state tokens moved\n", r.Attempts["read"], r.Attempts["write"], r.Moved)
+			for _, what := range slices.Sorted(maps.Keys(r.Ends)) {
+				fmt.Fprintf(out, "  %d %s\n", r.Ends[what], what)
+			}
 			breaches := 0
 			for i, v := range r.Rules {
 				fmt.Fprintf(out, "rule %d, %s: %d checks, %d breaches (%s)\n", i+1, v.Rule, v.Checks, len(v.Breaches), v.Worst)
--- a/internal/lab/fleet/fleet.go
+++ b/internal/lab/fleet/fleet.go
@@ -51,6 +51,7 @@
 	Score    *scene.Score
 	Rules    []audit.Verdict // where they were judged
 	Attempts map[string]int  // reads and writes that reached engines
+	Ends     map[string]int  // of attempts by what they were and how they ended, as "read timed out"
 	Events   int64           // played
 	Moved    float64         // state tokens that writers fetched
 	Roles    []Standing      // where engines change role: each look of the first planner
@@ -167,7 +168,7 @@
 }
 
 func (f *fleet) result() *Result {
-	r := &Result{Score: f.clients.score, Attempts: map[string]int{}}
+	r := &Result{Score: f.clients.score, Attempts: map[string]int{}, Ends: map[string]int{}}
 	for _, n := range slices.Sorted(maps.Keys(f.clients.tries)) {
 		f.clients.taken(f.clients.tries[n])
 	}
@@ -181,6 +182,9 @@
 	}
 	for _, x := range f.fronts {
 		events = append(events, x.log...)
+		for e, n := range x.ends {
+			r.Ends[e.String()] += n
+		}
 	}
 	if len(f.planners) > 0 {
 		r.Roles = f.planners[0].seen
--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -42,7 +42,8 @@
 	touched  []*flight         // answered in this step
 	ids      []choice.ServerID // by engine
 	engines  map[choice.ServerID]int
-	known    []listed   // by engine: as last told
+	known    []listed // by engine: as last told
+	ends     map[endOf]int
 	lost     [2]float64 // requests that reading, and writing, were short of; since the process began
 }
 
@@ -59,6 +60,22 @@
 	read     bool // once
 }
 
+// endOf is how an attempt ended.
+type endOf struct {
+	write  bool
+	result choice.Result
+}
+
+var resultNames = map[choice.Result]string{choice.Served: "served", choice.Errored: "failed", choice.Turned: "turned away", choice.TimedOut: "timed out",
+	choice.ConnectFailed: "not connected", choice.Reset: "reset", choice.Cancelled: "called off", choice.NotSent: "not sent", choice.ReadDone: "done"}
+
+func (e endOf) String() string {
+	if e.write {
+		return "write " + resultNames[e.result]
+	}
+	return "read " + resultNames[e.result]
+}
+
 type answerState uint8
 
 const (
@@ -105,7 +122,7 @@
 func (x *front) start() error {
 	if x.rnd == nil {
 		x.rnd, x.taped = x.f.rnd(1<<20+uint64(x.index)), x.f.o.Audit
-		x.engines = map[choice.ServerID]int{}
+		x.engines, x.ends = map[choice.ServerID]int{}, map[endOf]int{}
 		for i, e := range x.f.engines {
 			id := reg.ServerID(e.name, func(id choice.ServerID) bool { _, taken := x.engines[id]; return taken })
 			x.ids, x.engines[id] = append(x.ids, id), i
@@ -443,6 +460,7 @@
 		return
 	}
 	at.over = true
+	x.ends[endOf{at.write, result}]++
 	at.unsent = at.unsent || result == choice.ConnectFailed || result == choice.Turned || result == choice.NotSent
 	fl.out--
 	over := fl.state == streaming && fl.owner == n
