--- a/choice/admission.go
+++ b/choice/admission.go
@@ -1,6 +1,7 @@
 package choice
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -26,7 +27,22 @@
 	r.seeKey(q)
 	r.reqs[ev.ID] = q
 	r.hold(q)
-	q.shed = draw(r.salt+2, uint64(q.ID)) < r.shed*(1+overShed*b2f(q.over))
+	q.shed = draw(r.salt+2, uint64(q.ID)) < r.shed*r.lack(q)
+}
+
+// lack is how many times more readily than others q is refused: by how far its worth for the work that it asks for lies
+// below that of the requests seen. Bounded both ways, so that no class or length is shut out, nor any kept whole.
+func (r *Router) lack(q *request) float64 {
+	v := cmp.Or(q.class.Worth, 1)
+	if !r.set.WorthByWork {
+		v /= max(q.PromptLen-q.PrefixLen, 0) + 200
+	}
+	if q.over {
+		v *= r.set.OverShareWorth
+	}
+	r.worthSeen = cmp.Or(r.worthSeen, v)
+	r.worthSeen += worthGain * (v - r.worthSeen)
+	return min(max(r.worthSeen/max(v, 1e-9), 1/lackMost), lackMost)
 }
 
 // dispatch releases held requests: shortest prompt first, and every promoteEvery-th time one that starved.
--- a/choice/api.go
+++ b/choice/api.go
@@ -75,7 +75,8 @@
 	Classes        []Class
 	Kinds          []Kind
 	Tenants        []Tenant // may be empty
-	OverShareWorth float64  // worth of a request beyond its tenant's share; not used yet
+	OverShareWorth float64  // worth of a request beyond its tenant's share, as a part of the usual
+	WorthByWork    bool     // worth is of each unit of work, else of a request
 	MaxAttempts    int      // for one request; 0 = 2
 	CanCancel      bool
 	SecondCopies   bool          // two attempts of a request may be out at once; this module never does it
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,11 +54,12 @@
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
 	// Refusing on arrival where answers come late by and large.
-	shedBack = 1.5  // an answer in time lowers it by so much, a late one raises it by its lost worth
-	shedGain = 0.15 // change a second of the part refused
-	shedMost = 0.9
-	overShed = 2.0 // requests beyond their tenant's share are refused so many times more often
-	jamFrom  = 0.1 // from this part on what has missed its aim is given up
+	shedBack  = 1.5  // an answer in time lowers it by so much, a late one raises it by its lost worth
+	shedGain  = 0.15 // change a second of the part refused
+	shedMost  = 0.9
+	lackMost  = 6.0  // times that what is worth little for its work is refused more often than what is worth the mean
+	worthGain = 0.02 // weight of the newest request in that mean
+	jamFrom   = 0.1  // from this part on what has missed its aim is given up
 
 	// Time-outs and final answers.
 	readLeast  = 800 * time.Millisecond  // least time-out of a read
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -373,3 +373,55 @@
 		b.Run(fmt.Sprintf("%d servers", n), func(b *testing.B) { benchmarkStep(b, n*2/5, n-n*2/5) })
 	}
 }
+
+// TestLittleWorthForItsWorkIsRefusedFirst: while a part is refused, heavy requests of little worth and those beyond their
+// tenant's share are refused more, by no more than lackMost times, and none is refused while nothing is late.
+func TestLittleWorthForItsWorkIsRefusedFirst(t *testing.T) {
+	refused := func(byWork bool, shed float64, change func(q *Request, i int)) [2]int {
+		set := testSettings()
+		set.WorthByWork, set.OverShareWorth = byWork, 0.1
+		set.Classes[1].Effect = Safe // of twice the worth
+		set.Tenants = []Tenant{{QuotaPerS: 1}, {}}
+		g := newRig(t, set, reader(1), writer(2))
+		var n [2]int
+		for i := range 4000 {
+			q := g.request(RequestID(i+1), 0, 600)
+			q.PrefixLen, q.Tenant = 0, 1
+			change(&q, i%2)
+			g.r.shed = shed
+			for range pick[Refuse](g.step(q)) {
+				n[i%2]++
+			}
+			g.step(ClientGone{Request: q.ID})
+			g.now += ms
+		}
+		return n
+	}
+	long := func(q *Request, i int) { q.PromptLen += 2400 * float64(i) }
+	better := func(q *Request, i int) { q.Class = i }
+	over := func(q *Request, i int) { q.Tenant = 1 - i }
+	tests := []struct {
+		name   string
+		byWork bool
+		change func(q *Request, i int)
+		more   int // of the two, which is refused more; -1 = neither
+	}{
+		{"long, by the request", false, long, 1}, {"long, by the work", true, long, -1},
+		{"dear, by the request", false, better, 0}, {"dear, by the work", true, better, 0},
+		{"beyond the share", true, over, 1},
+	}
+	for _, tc := range tests {
+		n := refused(tc.byWork, 0.12, tc.change)
+		a, b := n[0], n[1]
+		if tc.more == 0 {
+			a, b = b, a
+		}
+		switch {
+		case tc.more < 0 && (a > 2*b || b > 2*a), tc.more >= 0 && 2*b < 3*a, a == 0 || b == 0 || float64(b) > 2000*0.12*lackMost*1.2:
+			t.Errorf("%s: refused %v of 2000 each", tc.name, n)
+		}
+		if n := refused(tc.byWork, 0, tc.change); n != [2]int{} {
+			t.Errorf("%s: refused %v with nothing late", tc.name, n)
+		}
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -88,8 +88,9 @@
 	Overload      float64       `cfg:"overload-factor"`
 	TipAfter      time.Duration `cfg:"tip-after"`
 	WritersRead   bool          `cfg:"writers-read"`
-	CancelStops   bool          `cfg:"cancel"` // engines stop the work of a connection that closes
-	OverShare     float64       `cfg:"over-share-worth"`
+	CancelStops   bool          `cfg:"cancel"`                     // engines stop the work of a connection that closes
+	OverShare     float64       `cfg:"over-share-worth"`           // part of the usual worth
+	WorthBy       string        `cfg:"worth-by,enum=request|work"` // none = request
 	DefaultClass  string        `cfg:"default-class"`
 	DefaultTenant string        `cfg:"default-tenant"`
 }
@@ -288,7 +289,8 @@
 	v := s.Service
 	c := choice.Settings{Fronts: v.Fronts, MaxAttempts: v.MaxAttempts, MaxWait: v.MaxWait, ReleaseWithin: v.Release,
 		DrainGrace: v.DrainGrace, ColdFrom: v.ColdFrom, ColdFor: v.ColdFor, OverloadFactor: v.Overload, TipAfter: v.TipAfter,
-		WritersRead: v.WritersRead, CanCancel: v.CancelStops, OverShareWorth: v.OverShare}
+		WritersRead: v.WritersRead, CanCancel: v.CancelStops, OverShareWorth: v.OverShare,
+		WorthByWork: v.WorthBy == "work"}
 	if s.Engines != nil {
 		c.ReportFields = strings.Fields(s.Engines.Report)
 	}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -38,6 +38,7 @@
 		AskWithin, Cold, ColdFrom, GraceToAnswer, OverloadFactor, StopSendingWithin, TipAfter float64
 	}
 	OverShareWorth float64
+	WorthBy        string
 	Report         struct{ Fields []string }
 }
 
@@ -57,7 +58,7 @@
 	}
 	f, inv := b.FamilyInfo, b.Invariants
 	s := choice.Settings{
-		Fronts: b.Balancers, Zone: b.Zone, OverShareWorth: b.OverShareWorth,
+		Fronts: b.Balancers, Zone: b.Zone, OverShareWorth: b.OverShareWorth, WorthByWork: b.WorthBy == "work",
 		MaxAttempts: b.Caps.AttemptsCap, CanCancel: b.Caps.Cancel, SecondCopies: b.Caps.SecondCopies,
 		MaxWait: micro(b.Caps.MaxRetryAfter), Ahead: f.Ahead, WritersRead: f.LocalRead, Resume: f.Resume,
 		ReleaseWithin: micro(f.Release), AnswerSlack: micro(inv.GraceToAnswer), DrainGrace: micro(inv.StopSendingWithin),
