--- a/choice/admission.go
+++ b/choice/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -30,8 +31,8 @@
 	q.shed = draw(r.salt+2, uint64(q.ID)) < r.shed*r.lack(q)
 }
 
-// lack is how many times more readily than others q is refused: by how far its worth for the work that it asks for lies
-// below that of the requests seen. Bounded both ways, so that no class or length is shut out, nor any kept whole.
+// lack is how many times more readily than others q is refused: by how far its worth for the work that it
+// asks for lies below that of the requests seen. Bounded both ways, so that no class or length is shut out.
 func (r *Router) lack(q *request) float64 {
 	v := cmp.Or(q.class.Worth, 1)
 	if !r.set.WorthByWork {
@@ -138,7 +139,7 @@
 	if late {
 		step = 1 - q.class.LateWorth
 	}
-	r.shed = min(max(r.shed+shedGain*dt*step, 0), shedMost)
+	r.shed = min(max(1-(1-r.shed)*math.Exp(-shedGain*dt*step), 0), shedMost)
 }
 
 // aimAt is when the first token is wanted.
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,10 +54,10 @@
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
 	// Refusing on arrival where answers come late by and large.
-	shedBack  = 1.5  // an answer in time lowers it by so much, a late one raises it by its lost worth
-	shedGain  = 0.15 // change a second of the part refused
+	shedBack  = 1.5  // an answer in time raises what is admitted, a late one lowers it by its lost worth
+	shedGain  = 0.45 // change a second of the part admitted, as a part of it: back from shedMost within 3.5 s
 	shedMost  = 0.9
-	lackMost  = 6.0  // times that what is worth little for its work is refused more often than what is worth the mean
+	lackMost  = 6.0  // times that what is worth little for its work is refused more often
 	worthGain = 0.02 // weight of the newest request in that mean
 	jamFrom   = 0.1  // from this part on what has missed its aim is given up
 
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -425,3 +425,23 @@
 		}
 	}
 }
+
+// TestRefusingEndsWithinItsTime: from the most that is ever refused, answers in time bring a front back to refusing
+// nothing within 3.5 s, whether it has two answers a second or two hundred.
+func TestRefusingEndsWithinItsTime(t *testing.T) {
+	for _, rate := range []int{2, 10, 200} {
+		g := newRig(t, testSettings(), reader(1), writer(2))
+		g.r.shed, g.r.feltAt = shedMost, g.now
+		id, took := RequestID(0), time.Duration(0)
+		for ; g.r.shed > 0 && took < time.Minute; took += time.Second / time.Duration(rate) {
+			id++
+			q := &request{Request: g.request(id, 0, 500), class: &g.r.set.Classes[0], at: g.now}
+			g.now += time.Second / time.Duration(rate)
+			g.r.now = g.now
+			g.r.feel(q, false)
+		}
+		if took > 3500*ms+time.Second/time.Duration(rate) {
+			t.Errorf("%d answers a second: refusing ends after %v", rate, took)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -45,7 +45,7 @@
 	cells, zones flows
 	shed         float64 // part of new requests that is refused
 	feltAt       time.Duration
-	worthSeen    float64 // for each unit of work, mean over requests
+	worthSeen    float64            // for each unit of work, mean over requests
 	keys         map[uint64]float64 // requests seen, by key
 	keysAll      float64
 	fadeAt       time.Duration
