--- a/choice/admission.go
+++ b/choice/admission.go
@@ -133,12 +133,11 @@
 // gone, cold or slow. A queue then makes all late, so as much is refused as keeps the rest in time. It moves
 // by time passed, to be alike in a front of few requests and of many. It hurts where less work mends nothing.
 func (r *Router) feel(q *request, late bool) {
-	dt := min(r.now-r.feltAt, time.Second).Seconds()
-	r.feltAt = r.now
-	step := -shedBack
-	if late {
-		step = 1 - q.class.LateWorth
+	dt, step := min(r.now-r.feltAt, feltMost).Seconds(), -shedBack
+	if late { // one after a long silence may be alone
+		dt, step = min(dt, 1), 1-q.class.LateWorth
 	}
+	r.feltAt = r.now
 	r.shed = min(max(1-(1-r.shed)*math.Exp(-shedGain*dt*step), 0), shedMost)
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,9 +57,10 @@
 	shedBack  = 1.5  // an answer in time raises what is admitted, a late one lowers it by its lost worth
 	shedGain  = 0.45 // change a second of the part admitted, as a part of it: back from shedMost within 3.5 s
 	shedMost  = 0.9
-	lackMost  = 6.0  // times that what is worth little for its work is refused more often
-	worthGain = 0.02 // weight of the newest request in that mean
-	jamFrom   = 0.1  // from this part on what has missed its aim is given up
+	feltMost  = 3 * time.Second // an answer in time speaks for so long; nearly all are refused where it counts
+	lackMost  = 6.0             // times that what is worth little for its work is refused more often
+	worthGain = 0.02            // weight of the newest request in that mean
+	jamFrom   = 0.1             // from this part on what has missed its aim is given up
 
 	// Time-outs and final answers.
 	readLeast  = 800 * time.Millisecond  // least time-out of a read
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -427,21 +427,22 @@
 }
 
 // TestRefusingEndsWithinItsTime: from the most that is ever refused, answers in time bring a front back to refusing
-// nothing within 3.5 s, whether it has two answers a second or two hundred.
+// nothing within 3.5 s, whether it has an answer in three seconds or two hundred a second.
 func TestRefusingEndsWithinItsTime(t *testing.T) {
-	for _, rate := range []int{2, 10, 200} {
+	for _, rate := range []float64{1 / 3., 2, 10, 200} {
+		gap := time.Duration(float64(time.Second) / rate)
 		g := newRig(t, testSettings(), reader(1), writer(2))
 		g.r.shed, g.r.feltAt = shedMost, g.now
 		id, took := RequestID(0), time.Duration(0)
-		for ; g.r.shed > 0 && took < time.Minute; took += time.Second / time.Duration(rate) {
+		for ; g.r.shed > 0 && took < time.Minute; took += gap {
 			id++
 			q := &request{Request: g.request(id, 0, 500), class: &g.r.set.Classes[0], at: g.now}
-			g.now += time.Second / time.Duration(rate)
+			g.now += gap
 			g.r.now = g.now
 			g.r.feel(q, false)
 		}
-		if took > 3500*ms+time.Second/time.Duration(rate) {
-			t.Errorf("%d answers a second: refusing ends after %v", rate, took)
+		if took > 3500*ms+gap {
+			t.Errorf("%.2f answers a second: refusing ends after %v", rate, took)
 		}
 	}
 }
