Laboratory: lab overload, goodput against offered load and the time back

Need: overload must be measured before its law is changed: what is served while more is asked than can be done, and when service is back.

--- a/cmd/brackenbend/lab.go
+++ b/cmd/brackenbend/lab.go
@@ -14,7 +14,7 @@
 
 func labCommand() *cobra.Command {
 	cmd := &cobra.Command{Use: "lab", Short: "Comparisons in simulated time"}
-	cmd.AddCommand(labRolesCommand(), labDayCommand(), labForecastCommand(), labRecordCommand(), labFitCommand(), labHuntCommand(), labCausesCommand())
+	cmd.AddCommand(labRolesCommand(), labDayCommand(), labForecastCommand(), labRecordCommand(), labFitCommand(), labHuntCommand(), labCausesCommand(), labOverloadCommand())
 	return cmd
 }
 
