--- a/choice/admission.go
+++ b/choice/admission.go
@@ -137,6 +137,9 @@
 	if late { // one after a long silence may be alone
 		dt, step = min(dt, 1), 1-q.class.LateWorth
 	}
+	if !late && r.now-r.turnedAt < turnedFor { // what is in time came before those that fill the queues
+		step = 0
+	}
 	r.feltAt = r.now
 	r.shed = min(max(1-(1-r.shed)*math.Exp(-shedGain*dt*step), 0), shedMost)
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,8 +54,9 @@
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
 	// Refusing on arrival where answers come late by and large.
-	shedBack  = 1.5  // an answer in time raises what is admitted, a late one lowers it by its lost worth
-	shedGain  = 0.45 // change a second of the part admitted, as a part of it: back from shedMost within 3.5 s
+	shedBack  = 1.5             // an answer in time raises what is admitted by it, a late one lowers it
+	turnedFor = 2 * time.Second // no more is admitted so long after a server turned work away: its queue is full
+	shedGain  = 0.45            // change of the part admitted in a second: back from shedMost in 3.5 s
 	shedMost  = 0.9
 	feltMost  = 3 * time.Second // an answer in time speaks for so long; nearly all are refused where it counts
 	lackMost  = 6.0             // times that what is worth little for its work is refused more often
@@ -266,7 +267,7 @@
 		r.learn(s, q, true, 2*failGain, false)
 	case Turned:
 		if !ev.NoState {
-			s.full = r.now + fullPause
+			s.full, r.turnedAt = r.now+fullPause, r.now
 		}
 	}
 	mayHaveRun := slices.Contains([]Result{Errored, TimedOut, Reset, Cancelled}, ev.Result)
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -446,3 +446,31 @@
 		}
 	}
 }
+
+// TestNothingMoreIsAdmittedWhileQueuesAreFull: answers in time don't raise what is admitted within turnedFor of a server
+// turning work away, and do so afterwards; a state that was gone says nothing of queues.
+func TestNothingMoreIsAdmittedWhileQueuesAreFull(t *testing.T) {
+	for _, noState := range []bool{false, true} {
+		g := newRig(t, testSettings(), reader(1), reader(4), writer(2))
+		s := one[Send](t, g.step(g.request(1, 0, 500)))
+		if noState {
+			s = one[Send](t, g.after(ms, Outcome{Request: 1, Server: s.Server, Result: ReadDone, Elapsed: ms}))
+		}
+		g.after(ms, Outcome{Request: 1, Attempt: b2i(noState), Server: s.Server, Result: Turned, NoState: noState, Elapsed: ms})
+		g.r.shed = 0.5
+		inTime := func() float64 {
+			q := &request{Request: g.request(9, 0, 500), class: &g.r.set.Classes[0], at: g.now}
+			g.now += 200 * ms
+			g.r.now = g.now
+			g.r.feel(q, false)
+			return g.r.shed
+		}
+		if shed := inTime(); (shed == 0.5) == noState {
+			t.Errorf("no state %v: part refused %.2f of 0.5 after an answer in time", noState, shed)
+		}
+		g.now += turnedFor
+		if shed := inTime(); shed >= 0.5 {
+			t.Errorf("no state %v: still %.2f after %v", noState, shed, turnedFor)
+		}
+	}
+}
