--- a/choice/state.go
+++ b/choice/state.go
@@ -45,7 +45,7 @@
 	cells, zones flows
 	shed         float64 // part of new requests that is refused
 	feltAt       time.Duration
-	turnedAt     time.Duration // when a server last turned work away
+	turnedAt     time.Duration      // when a server last turned work away
 	worthSeen    float64            // for each unit of work, mean over requests
 	keys         map[uint64]float64 // requests seen, by key
 	keysAll      float64
