--- a/choice/choice.go
+++ b/choice/choice.go
@@ -54,12 +54,12 @@
 	fullPause   = 150 * time.Millisecond  // a server that turned a request away has no room for so long
 
 	// Refusing on arrival where answers come late by and large.
-	shedBack  = 1.5             // an answer in time raises what is admitted by it, a late one lowers it
-	turnedFor = 2 * time.Second // no more is admitted so long after a server turned work away: its queue is full
-	shedGain  = 0.45            // change of the part admitted in a second: back from shedMost in 3.5 s
+	shedBack  = 1.5             // an answer in time raises what is admitted by it
+	turnedFor = 2 * time.Second // nothing more is admitted so long after a server turned work away
+	shedGain  = 0.45            // change of the part admitted in a second
 	shedMost  = 0.9
-	feltMost  = 3 * time.Second // an answer in time speaks for so long; nearly all are refused where it counts
-	lackMost  = 6.0             // times that what is worth little for its work is refused more often
+	feltMost  = 3 * time.Second // an answer in time speaks for so long, a late one for 1 s
+	lackMost  = 6.0             // what is worth little for its work is refused so many times more
 	worthGain = 0.02            // weight of the newest request in that mean
 	jamFrom   = 0.1             // from this part on what has missed its aim is given up
 
