--- /dev/null
+++ b/internal/lab/batch/batch_test.go
@@ -0,0 +1,32 @@
+package batch
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+)
+
+func TestEachBoundsAndJoins(t *testing.T) {
+	var now, most, calls atomic.Int32
+	err := Each(20, 3, func(i int) error {
+		calls.Add(1)
+		if n := now.Add(1); n > most.Load() {
+			most.Store(n)
+		}
+		now.Add(-1)
+		if i%10 == 4 {
+			return fmt.Errorf("number %d", i)
+		}
+		return nil
+	})
+	if calls.Load() != 20 || most.Load() > 3 {
+		t.Errorf("%d calls, %d at once", calls.Load(), most.Load())
+	}
+	if err == nil || err.Error() != "number 4\nnumber 14" {
+		t.Errorf("%v", err)
+	}
+	if err := Each(2, 0, func(int) error { return nil }); err != nil || errors.Is(err, errors.ErrUnsupported) {
+		t.Errorf("%v", err)
+	}
+}
--- a/internal/lab/causes/causes.go
+++ b/internal/lab/causes/causes.go
@@ -8,11 +8,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
 
+	"brackenbend/internal/lab/batch"
 	"brackenbend/internal/lab/fleet"
 	"brackenbend/internal/lab/forecast"
 	"brackenbend/internal/lab/scene"
@@ -103,28 +103,21 @@
 // play gives the service of each course by each way.
 func (p *Plan) play(fronts int, ways []fleet.Oracles) ([][]float64, error) {
 	got := make([][]float64, len(ways))
-	errs := make([]error, len(ways)*p.Runs)
-	room := make(chan struct{}, max(p.AtOnce, 1))
-	var wg sync.WaitGroup
 	for w := range ways {
 		got[w] = make([]float64, p.Runs)
-		for run := range p.Runs {
-			wg.Add(1)
-			room <- struct{}{}
-			go func() {
-				defer func() { <-room; wg.Done() }()
-				d := *p.Day
-				d.Fronts = fronts
-				d.Seed += 1000 * (run + 1)
-				r, err := fleet.Run(&d, fleet.Options{Seed: uint64(run) + 1, Oracles: ways[w]})
-				if errs[w*p.Runs+run] = err; err == nil {
-					got[w][run] = r.Score.Service()
-				}
-			}()
-		}
 	}
-	wg.Wait()
-	return got, errors.Join(errs...)
+	err := batch.Each(len(ways)*p.Runs, p.AtOnce, func(i int) error {
+		w, run := i/p.Runs, i%p.Runs
+		d := *p.Day
+		d.Fronts = fronts
+		d.Seed += 1000 * (run + 1)
+		r, err := fleet.Run(&d, fleet.Options{Seed: uint64(run) + 1, Oracles: ways[w]})
+		if err == nil {
+			got[w][run] = r.Score.Service()
+		}
+		return err
+	})
+	return got, err
 }
 
 func gain(less, more []float64, level float64) Gain {
--- a/internal/lab/forecast/forecast.go
+++ b/internal/lab/forecast/forecast.go
@@ -11,11 +11,11 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"sync"
 
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"brackenbend/internal/lab/batch"
 	"brackenbend/internal/lab/fleet"
 	"brackenbend/internal/lab/scene"
 )
@@ -52,7 +52,7 @@
 	}
 	f := &Forecast{Day: name, Level: level, Services: make([]float64, runs)}
 	worst, breaches := make([]float64, runs), make([]int, runs)
-	err := each(runs, atOnce, func(i int) error {
+	err := batch.Each(runs, atOnce, func(i int) error {
 		r, err := fleet.Run(d, fleet.Options{Seed: uint64(i) + 1, Audit: true})
 		if err != nil {
 			return err
@@ -89,28 +89,6 @@
 	f.Low, f.High = max(f.Low, 0), min(f.High, 1)
 }
 
-// each calls do for 0 to n-1, a few at once, and gives the first error by number.
-func each(n, atOnce int, do func(i int) error) error {
-	errs := make([]error, n)
-	room := make(chan struct{}, max(atOnce, 1))
-	var wg sync.WaitGroup
-	for i := range n {
-		wg.Add(1)
-		room <- struct{}{}
-		go func() {
-			defer func() { <-room; wg.Done() }()
-			errs[i] = do(i)
-		}()
-	}
-	wg.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Pair is a forecast and what came.
 type Pair struct {
 	Forecast *Forecast
@@ -239,7 +217,7 @@
 	for c.Looks = 1; c.Looks <= looks; c.Looks++ {
 		more := min(r.Batch, r.Most-n)
 		results := make([][2]*Summary, more)
-		err := each(2*more, r.AtOnce, func(i int) error {
+		err := batch.Each(2*more, r.AtOnce, func(i int) error {
 			side := []Side{a, b}[i%2]
 			seed := uint64(n + i/2 + 1)
 			d := *side.Day
--- a/internal/lab/hunt/hunt.go
+++ b/internal/lab/hunt/hunt.go
@@ -9,9 +9,9 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
+	"brackenbend/internal/lab/batch"
 	"brackenbend/internal/lab/fleet"
 	"brackenbend/internal/lab/scene"
 )
@@ -185,19 +185,11 @@
 // play gives what comes of each list.
 func (h *Hunt) play(lists [][]scene.Happening) ([]Found, error) {
 	found := make([]Found, len(lists))
-	errs := make([]error, len(lists))
-	room := make(chan struct{}, max(h.AtOnce, 1))
-	var wg sync.WaitGroup
-	for i, list := range lists {
-		wg.Add(1)
-		room <- struct{}{}
-		go func() {
-			defer func() { <-room; wg.Done() }()
-			found[i], errs[i] = h.try(list)
-		}()
-	}
-	wg.Wait()
-	return found, errors.Join(errs...)
+	err := batch.Each(len(lists), h.AtOnce, func(i int) (err error) {
+		found[i], err = h.try(lists[i])
+		return err
+	})
+	return found, err
 }
 
 func (h *Hunt) try(list []scene.Happening) (Found, error) {
--- a/internal/lab/overload/overload.go
+++ b/internal/lab/overload/overload.go
@@ -8,13 +8,13 @@
 	"fmt"
 	"io"
 	"slices"
-	"sync"
 	"text/tabwriter"
 	"time"
 
 	"gonum.org/v1/gonum/stat"
 
 	"brackenbend/internal/config"
+	"brackenbend/internal/lab/batch"
 	"brackenbend/internal/lab/fleet"
 	"brackenbend/internal/lab/scene"
 )
@@ -82,23 +82,16 @@
 		return nil, errors.New("overload: a load, a run, 3 s before, 2 s of overload and 5 s after it are needed at least")
 	}
 	points := make([]Point, len(p.Loops)*len(p.Loads))
-	errs := make([]error, len(points)*p.Runs)
 	courses := make([][]course, len(points))
-	room := make(chan struct{}, max(p.AtOnce, 1))
-	var wg sync.WaitGroup
-	for i := range points {
+	for i := range courses {
 		courses[i] = make([]course, p.Runs)
-		for run := range p.Runs {
-			wg.Add(1)
-			room <- struct{}{}
-			go func() {
-				defer func() { <-room; wg.Done() }()
-				courses[i][run], errs[i*p.Runs+run] = p.play(p.Loops[i/len(p.Loads)], p.Loads[i%len(p.Loads)], run)
-			}()
-		}
 	}
-	wg.Wait()
-	if err := errors.Join(errs...); err != nil {
+	err := batch.Each(len(points)*p.Runs, p.AtOnce, func(n int) (err error) {
+		i, run := n/p.Runs, n%p.Runs
+		courses[i][run], err = p.play(p.Loops[i/len(p.Loads)], p.Loads[i%len(p.Loads)], run)
+		return err
+	})
+	if err != nil {
 		return nil, err
 	}
 	for i := range points {
