Read again: one reckoning of what waits, one way to a course, one figure for flapping

Cause: the change had written some things twice, or kept what follows from other state. Change: model.waits serves Work and Ahead; scene.Course gives a comparison's n-th course to three packages; scene.FlapEvery to sockets and emulator; saveJSON to five commands; a slow client's end follows from its first token; the law's cases stand in one switch.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -134,10 +134,10 @@
 // by time passed, to be alike in a front of few requests and of many. It hurts where less work mends nothing.
 func (r *Router) feel(q *request, late bool) {
 	dt, step := min(r.now-r.feltAt, feltMost).Seconds(), -shedBack
-	if late { // one after a long silence may be alone
+	switch {
+	case late: // one after a long silence may be alone
 		dt, step = min(dt, 1), 1-q.class.LateWorth
-	}
-	if !late && r.now-r.turnedAt < turnedFor { // what is in time came before those that fill the queues
+	case r.now-r.turnedAt < turnedFor: // what is in time came before those that fill the queues
 		step = 0
 	}
 	r.feltAt = r.now
--- a/cmd/brackenbend/lab_causes.go
+++ b/cmd/brackenbend/lab_causes.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
 
 	"github.com/spf13/cobra"
@@ -40,10 +39,8 @@
 			if err != nil {
 				return err
 			}
-			if jsonFile != "" {
-				if err := writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, sizes) }); err != nil {
-					return err
-				}
+			if err := saveJSON(jsonFile, sizes); err != nil {
+				return err
 			}
 			return causes.Write(cmd.OutOrStdout(), sizes)
 		},
--- a/cmd/brackenbend/lab_day.go
+++ b/cmd/brackenbend/lab_day.go
@@ -70,10 +70,8 @@
 			}
 			took := time.Since(began)
 			out := cmd.OutOrStdout()
-			if jsonFile != "" {
-				if err := writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, forecast.Sum(r)) }); err != nil {
-					return err
-				}
+			if err := saveJSON(jsonFile, forecast.Sum(r)); err != nil {
+				return err
 			}
 			fmt.Fprintf(out, "simulated: service %.3f, worst 10 s %.3f, over %v\n\n", r.Score.Service(), r.Score.Worst(10), d.Length)
 			w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
--- a/cmd/brackenbend/lab_forecast.go
+++ b/cmd/brackenbend/lab_forecast.go
@@ -86,10 +86,7 @@
 				m := forecast.Fit(pairs)
 				fmt.Fprintf(out, "fitted: --floor %.4f --part %.3f\n", m.Floor, m.Part)
 			}
-			if jsonFile == "" {
-				return nil
-			}
-			return writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, pairs) })
+			return saveJSON(jsonFile, pairs)
 		},
 	}
 	f := cmd.Flags()
@@ -103,6 +100,14 @@
 	return cmd
 }
 
+// saveJSON writes v to a file, where one is named.
+func saveJSON(file string, v any) error {
+	if file == "" {
+		return nil
+	}
+	return writeFile(file, func(f *os.File) error { return writeJSON(f, v) })
+}
+
 func writeJSON(w io.Writer, v any) error {
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
@@ -243,10 +248,7 @@
 					return err
 				}
 			}
-			if jsonFile != "" {
-				return writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, c) })
-			}
-			return nil
+			return saveJSON(jsonFile, c)
 		},
 	}
 	f := cmd.Flags()
--- a/cmd/brackenbend/lab_overload.go
+++ b/cmd/brackenbend/lab_overload.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"runtime"
 	"time"
 
@@ -60,10 +59,8 @@
 			if err != nil {
 				return coded{err, exitUsage}
 			}
-			if jsonFile != "" {
-				if err := writeFile(jsonFile, func(f *os.File) error { return writeJSON(f, points) }); err != nil {
-					return err
-				}
+			if err := saveJSON(jsonFile, points); err != nil {
+				return err
 			}
 			return overload.Write(cmd.OutOrStdout(), points)
 		},
--- a/internal/day/script.go
+++ b/internal/day/script.go
@@ -195,7 +195,7 @@
 	return func() { change(undo) }
 }
 
-// flap lets the register take an engine off and on again every 300 ms.
+// flap lets the register take an engine off and on again every scene.FlapEvery.
 func (r *run) flap(h *scene.Happening, s *engine.Server) func() {
 	stop, done := make(chan struct{}), make(chan struct{})
 	name := s.Info().Name
@@ -207,7 +207,7 @@
 			case <-stop:
 				r.listing(s, func() { r.listed[name] = true }, func() {})
 				return
-			case <-time.After(300 * time.Millisecond):
+			case <-time.After(scene.FlapEvery):
 			}
 		}
 	}()
--- a/internal/lab/causes/causes.go
+++ b/internal/lab/causes/causes.go
@@ -108,10 +108,9 @@
 	}
 	err := batch.Each(len(ways)*p.Runs, p.AtOnce, func(i int) error {
 		w, run := i/p.Runs, i%p.Runs
-		d := *p.Day
+		d := p.Day.Course(run + 1)
 		d.Fronts = fronts
-		d.Seed += 1000 * (run + 1)
-		r, err := fleet.Run(&d, fleet.Options{Seed: uint64(run) + 1, Oracles: ways[w]})
+		r, err := fleet.Run(d, fleet.Options{Seed: uint64(run) + 1, Oracles: ways[w]})
 		if err == nil {
 			got[w][run] = r.Score.Service()
 		}
--- a/internal/lab/fleet/clients.go
+++ b/internal/lab/fleet/clients.go
@@ -46,7 +46,6 @@
 	first time.Duration // 0 = none yet
 	out   int           // tokens of the answer
 	hung  bool          // it leaves by itself
-	slow  time.Duration // until when it reads what has come; 0 = it keeps up
 }
 
 // What clients and fronts say to each other. Messages are not changed once they are sent.
@@ -194,9 +193,9 @@
 	if x == nil {
 		return
 	}
-	if s := x.t.s; s.Slow && s.Stream && m.kind == "served" && x.slow == 0 {
-		if x.slow = x.first + time.Duration(x.out)*scene.ReadsSlowly; x.slow > c.now() {
-			c.later(x.slow-c.now(), m)
+	if s := x.t.s; s.Slow && s.Stream && m.kind == "served" {
+		if until := x.first + time.Duration(x.out)*scene.ReadsSlowly; until > c.now() {
+			c.later(until-c.now(), m)
 			return
 		}
 	}
--- a/internal/lab/fleet/fleet_test.go
+++ b/internal/lab/fleet/fleet_test.go
@@ -229,7 +229,7 @@
 	reg.flap(0, 1)
 	for range 4 {
 		seen = append(seen, reg.lines[0].unlisted)
-		f.k.shards[0].play(f.k.shards[0].now + flapEvery + 1)
+		f.k.shards[0].play(f.k.shards[0].now + scene.FlapEvery + 1)
 	}
 	reg.lines[0].flaps++
 	reg.flap(0, 2)
--- a/internal/lab/fleet/oracle.go
+++ b/internal/lab/fleet/oracle.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 
 	"brackenbend/choice"
 	"brackenbend/internal/lab/scene"
@@ -56,7 +57,7 @@
 	role := x.f.cs.Kinds[x.known[picked].kind].Role
 	p := x.f.engines[picked]
 	cold := p.m.Present() < 1
-	if !o.any() || role == choice.Mixed || !p.sound() || len(fl.attempts) > 0 && role == choice.Writer && x.unsafe(fl) && fl.tried(choice.Writer, x) {
+	if !o.any() || role == choice.Mixed || !p.sound() || role == choice.Writer && x.unsafe(fl) && x.wrote(fl) {
 		return picked
 	}
 	if cold && !o.Cold || !cold && (role == choice.Reader && !o.Reads || role == choice.Writer && !o.Writes) {
@@ -100,14 +101,11 @@
 // sound tells that nothing is wrong with the engine.
 func (e *engine) sound() bool { return e.up && !e.deaf && len(e.faults) == 0 && !e.leaving() }
 
-// tried tells whether an attempt went to an engine of a role.
-func (fl *flight) tried(role choice.Role, x *front) bool {
-	for _, a := range fl.attempts {
-		if x.f.cs.Kinds[x.known[a.engine].kind].Role == role {
-			return true
-		}
-	}
-	return false
+// wrote tells whether an attempt of a flight went to a writer.
+func (x *front) wrote(fl *flight) bool {
+	return slices.ContainsFunc(fl.attempts, func(a *attempt) bool {
+		return x.f.cs.Kinds[x.known[a.engine].kind].Role == choice.Writer
+	})
 }
 
 // tellsHarm tells whether the health oracle takes the engines of a happening off the list: where they do harm, and others
--- a/internal/lab/fleet/register.go
+++ b/internal/lab/fleet/register.go
@@ -283,9 +283,6 @@
 	r.send(r.f.engines[i].id, r.f.hop(r.links), harm{h.What, on, h.Part, h.Factor, h.Class})
 }
 
-// flapEvery is how often a flapping engine comes onto the list or goes off it.
-const flapEvery = 300 * time.Millisecond
-
 // flap takes an engine off the list or puts it back, and again while it flaps.
 func (r *register) flap(i, of int) {
 	l := &r.lines[i]
@@ -296,7 +293,7 @@
 		l.unlisted = false
 	default:
 		l.unlisted = !l.unlisted
-		r.later(flapEvery, strike{func() { r.flap(i, of) }})
+		r.later(scene.FlapEvery, strike{func() { r.flap(i, of) }})
 	}
 	r.changed(i)
 }
--- a/internal/lab/forecast/forecast.go
+++ b/internal/lab/forecast/forecast.go
@@ -220,9 +220,7 @@
 		err := batch.Each(2*more, r.AtOnce, func(i int) error {
 			side := []Side{a, b}[i%2]
 			seed := uint64(n + i/2 + 1)
-			d := *side.Day
-			d.Seed += 1000 * int(seed)
-			res, err := side.play(&d, seed)
+			res, err := side.play(side.Day.Course(int(seed)), seed)
 			results[i/2][i%2] = res
 			return err
 		})
--- a/internal/lab/overload/overload.go
+++ b/internal/lab/overload/overload.go
@@ -108,13 +108,11 @@
 }
 
 func (p *Plan) play(loop Loop, load float64, run int) (course, error) {
-	base := *p.Day
-	base.Length = p.Before + p.For + p.After
+	d := p.Day.Course(run + 1)
+	d.Length = p.Before + p.For + p.After
 	from, to := p.Before, p.Before+p.For
-	d := &base
 	d.Happens = append(slices.Clone(d.Happens), scene.Happening{At: from, For: p.For, What: "surge", Factor: load / p.Base})
 	d.Rate *= config.Rate(p.Base)
-	d.Seed += 1000 * (run + 1)
 	o := fleet.Options{}
 	if p.Make != nil {
 		o = p.Make(uint64(run) + 1)
--- a/internal/lab/scene/clients.go
+++ b/internal/lab/scene/clients.go
@@ -24,6 +24,9 @@
 // ReadsSlowly is how long a slow client pauses after each token of a stream.
 const ReadsSlowly = 50 * time.Millisecond
 
+// FlapEvery is how often a flapping engine comes onto the list or goes off it.
+const FlapEvery = 300 * time.Millisecond
+
 // Calm is a mood in which nothing happens.
 func Calm() Mood { return Mood{Surge: 1} }
 
--- a/internal/lab/scene/scene.go
+++ b/internal/lab/scene/scene.go
@@ -327,6 +327,13 @@
 	return nil
 }
 
+// Course is the day with the clients of its n-th course, from 1; ways of running a fleet are compared on the same courses.
+func (d *Day) Course(n int) *Day {
+	c := *d
+	c.Seed += 1000 * n
+	return &c
+}
+
 // Scale makes the day last so long, everything in it in proportion.
 func (d *Day) Scale(length time.Duration) error {
 	if length < time.Second || length > time.Hour {
--- a/internal/standin/model/model.go
+++ b/internal/standin/model/model.go
@@ -95,16 +95,25 @@
 // Work tells what was done up to now.
 func (e *Engine) Work() Work {
 	w := e.work
-	for _, j := range append(slices.Clone(e.queue), e.running...) {
-		switch read, write := e.needs(j); {
-		case j.state == waiting:
-			w.ReadWaiting += read
-			w.WriteWaiting += write
-		case j.state == reading:
-			w.ReadWaiting += j.left / e.p.ReadRate
+	w.ReadWaiting, w.WriteWaiting = e.waits(0)
+	return w
+}
+
+// waits is the work of the jobs that are here and not begun, or being read, and so much reading beside it.
+func (e *Engine) waits(beside float64) (read, write float64) {
+	read = beside
+	for _, list := range [2][]*Job{e.queue, e.running} {
+		for _, j := range list {
+			switch j.state {
+			case waiting:
+				r, w := e.needs(j)
+				read, write = read+r, write+w
+			case reading:
+				read += j.left / e.p.ReadRate
+			}
 		}
 	}
-	return w
+	return read, write
 }
 
 // needs is the work of a job that has not begun.
@@ -549,19 +558,9 @@
 // Ahead is the reading, in seconds of the whole engine at full capacity, that is to be done until a job's prompt would be
 // read if it came now, its own included.
 func (e *Engine) Ahead(j *Job) float64 {
-	sum, _ := e.needs(j)
-	for _, list := range [2][]*Job{e.queue, e.running} {
-		for _, o := range list {
-			switch {
-			case o.state == waiting:
-				read, _ := e.needs(o)
-				sum += read
-			case o.state == reading:
-				sum += o.left / e.p.ReadRate
-			}
-		}
-	}
-	return sum
+	own, _ := e.needs(j)
+	all, _ := e.waits(own)
+	return all
 }
 
 // Near tells that a cold engine with j would have been sent more than a part of what tips it over.
