--- a/cmd/brackenbend/main.go
+++ b/cmd/brackenbend/main.go
@@ -51,7 +51,7 @@
 		SilenceUsage: true, SilenceErrors: true,
 	}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return coded{err, exitUsage} })
-	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), upCommand(), dayCommand(), engineCommand(), registerCommand(), plannerCommand(), rolesCommand(), labCommand(), compareCommand(), loadCommand())
+	root.AddCommand(serveCommand(), checkCommand(), schemaCommand(), upCommand(), dayCommand(), engineCommand(), registerCommand(), plannerCommand(), rolesCommand(), labCommand(), compareCommand(), loadCommand(), nodeCommand())
 	root.SetArgs(args)
 	err := root.Execute()
 	if err == nil {
--- /dev/null
+++ b/cmd/brackenbend/node.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"brackenbend/internal/node"
+	"brackenbend/internal/obs"
+)
+
+func nodeCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "node",
+		Short: "Run a front node of the platform",
+		Long: `Run a front node by the configuration file that LB_CONFIG names (docs/node.md). SIGTERM lets it answer what it
+holds and exit; SIGHUP reads the file again and moves to the discovery address in it.`,
+		Example: "  LB_CONFIG=/run/balancer/config.json brackenbend node",
+		Args:    exactly(0),
+		RunE:    func(*cobra.Command, []string) error { return runNode() },
+	}
+}
+
+func runNode() error {
+	signals := make(chan os.Signal, 8)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP) // first of all: SIGHUP would end the process
+	file := os.Getenv("LB_CONFIG")
+	if file == "" {
+		return coded{errors.New("node: LB_CONFIG names no configuration file"), exitUsage}
+	}
+	log, err := obs.Logger(os.Stderr, "json", "info", 100)
+	if err != nil {
+		return err
+	}
+	n, err := node.Start(file, os.Getenv, log)
+	if err != nil {
+		return coded{err, exitConfig}
+	}
+	for {
+		select {
+		case err := <-n.Failed():
+			n.Stop()
+			return err
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				n.Reload()
+				continue
+			}
+			log.Info("draining", zap.String("signal", sig.String()))
+			n.Stop()
+			return nil
+		}
+	}
+}
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -445,10 +445,7 @@
 	if kv := gjson.GetBytes(body, "kv_transfer_params"); kv.Exists() && kv.Type != gjson.Null {
 		r.KV = json.RawMessage(kv.Raw)
 	}
-	cached := gjson.GetBytes(body, "usage.prompt_tokens_details.cached_tokens")
-	if cached.Type == gjson.Number && cached.Num >= 0 && cached.Num < 1e9 {
-		r.Cached = cached.Num
-	}
+	r.Cached = Cached(body)
 	return r, nil
 }
 
@@ -474,3 +471,12 @@
 	}
 	return least
 }
+
+// Cached is how many prompt tokens the usage of an answer, or of an event, says were found kept; 0 when not told.
+func Cached(text []byte) float64 {
+	n := gjson.GetBytes(text, "usage.prompt_tokens_details.cached_tokens")
+	if n.Type == gjson.Number && n.Num >= 0 && n.Num < 1e9 {
+		return n.Num
+	}
+	return 0
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -12,8 +12,8 @@
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brackenbend/choice"
@@ -22,30 +22,41 @@
 	"brackenbend/internal/sse"
 )
 
-// The extension that an engine may speak beside vLLM's convention; docs/front.md has it in full.
-const (
-	PathRelease   = "/v1/brackenbend/release" // POST {"request_id": ...}: let go of a read state
-	FieldNeverRan = "X-Brackenbend-Never-Ran" // on 429 and 503: turned away before it ran
-	FieldNoState  = "X-Brackenbend-No-State"  // beside it: there was no read state to fetch
-	FieldLoad     = "endpoint-load-metrics"   // ORCA load report
-	fieldLoadAsk  = "endpoint-load-metrics-format"
-	FieldID       = "X-Request-Id"
-	FieldKey      = "Idempotency-Key"
-)
+// Dialect is what engines are told and how their answers are read. VLLM is this product's own.
+type Dialect interface {
+	// Head appends the head of a call's request, without its empty line.
+	Head(b []byte, s *Server, call *Call) []byte
+	// Whole reads an answer that is no stream; err tells that its body broke.
+	Whole(read bool, resp *http1.Response, text []byte, err error) Outcome
+	// Release is the call that lets go of what id holds, as a whole message; nil: engines let go by themselves.
+	Release(s *Server, id string) []byte
+	// Released tells that an engine's answer to it is a success.
+	Released(status int) bool
+}
 
-// Client holds what is common to all engines.
+// Client holds what is common to all engines. Its fields are set before its first use.
 type Client struct {
-	Extended    bool // engines speak the extension
+	Dialect     Dialect
+	Load        string // field of load reports, and how a stream's comment that holds one begins
+	ByRequest   bool   // state goes by the request's id, at whatever engine; else by each attempt's, at its engine
+	ToLastChunk bool   // a stream is whole with the last chunk behind its last event; else with that event
+	WholeSent   bool   // an engine begins with a request's last byte; else its first byte may have an effect
 	DialTime    time.Duration
-	Connections int // at once, an engine
-	Idle        int // kept, an engine
+	HeadTime    time.Duration // for an answer's head, from its first byte; 0 = until the call's deadline
+	Stream      int64         // bytes of a whole stream; 0 = no bound
+	Connections int           // at once, an engine
+	Total       int           // at once, all engines; 0 = no bound
+	Idle        int           // kept, an engine
 	IdleTime    time.Duration
 	StreamIdle  time.Duration // longest silence within a stream
 	Event       int           // bytes of one event
 	Reply       int64         // bytes of an answer that is not a stream
 	Limits      http1.Limits
-	Agent       string   // User-Agent
 	Report      []string // names of load figures, in the module's order
+
+	all     atomic.Int64         // connections open or being opened
+	mu      sync.Mutex           // taken before a server's
+	resting map[*Server]struct{} // servers that may have idle connections
 }
 
 // Call is one attempt's request.
@@ -93,7 +104,10 @@
 	conn  net.Conn
 	begun bool // the stream has begun
 	seen  int  // its events
-	sent  bool // a byte of the request was accepted
+	done  bool // its last event came
+	kept  float64
+	load  []float64
+	sent  bool // the engine may act on what was accepted of the request
 }
 
 // Cancel ends the attempt; its outcome is still reported.
@@ -184,10 +198,10 @@
 	if err := k.SetDeadline(call.Deadline); err != nil {
 		return fail(k, a.ended(err))
 	}
-	n, err := k.Write(c.message(s, call))
-	a.sent = n > 0
+	n, err := c.message(s, call).WriteTo(k.Conn)
+	a.sent = n > 0 && (!c.WholeSent || err == nil)
 	if err != nil {
-		if a.sent { // an engine may answer and close before it has read everything
+		if n > 0 { // an engine may answer and close before it has read everything
 			_ = k.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
 			if resp, rerr := http1.ReadResponse(k.br, c.Limits); rerr == nil && resp.Status >= 300 {
 				resp.Close = true
@@ -196,31 +210,53 @@
 		}
 		return fail(k, a.ended(err))
 	}
-	resp, err := http1.ReadResponse(k.br, c.Limits)
+	resp, err := c.head(k, call.Deadline)
 	if err != nil {
 		return fail(k, a.ended(err))
 	}
 	return k, resp, nil
 }
 
+// head reads the head of the answer, passing over interim ones. Each may be waited for until deadline, but must be
+// whole soon after its first byte.
+func (c *Client) head(k *conn, deadline time.Time) (*http1.Response, error) {
+	if c.HeadTime == 0 {
+		return http1.ReadResponse(k.br, c.Limits)
+	}
+	for range http1.MostInterim {
+		if _, err := k.br.Peek(1); err != nil {
+			return nil, err
+		}
+		if !http1.HeadBuffered(k.br) {
+			soon := time.Now().Add(c.HeadTime)
+			if deadline.Before(soon) {
+				soon = deadline
+			}
+			if err := k.SetReadDeadline(soon); err != nil {
+				return nil, err
+			}
+		}
+		resp, err := http1.ReadHead(k.br, c.Limits)
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = &http1.Error{Status: 502, Reason: "the head of the answer does not end"}
+		}
+		if err != nil || resp.Status >= 200 {
+			return resp, err
+		}
+		if err := k.SetReadDeadline(deadline); err != nil {
+			return nil, err
+		}
+	}
+	return nil, &http1.Error{Status: 502, Reason: "too many interim responses"}
+}
+
 var errShut = errors.New("engine: drains, is gone, or the attempt was called off before its first byte")
 
-func (c *Client) message(s *Server, call *Call) []byte {
-	b := make([]byte, 0, 384+len(call.Body))
-	b = append(b, "POST "...)
-	b = append(b, call.Path...)
-	b = append(b, " HTTP/1.1\r\n"...)
-	b = http1.AppendField(b, "Host", s.Address)
-	b = http1.AppendField(b, "User-Agent", c.Agent)
-	b = http1.AppendField(b, "Content-Type", "application/json")
-	b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(call.Body)))
-	b = http1.AppendField(b, FieldID, call.ID)
-	if call.Key != "" {
-		b = http1.AppendField(b, FieldKey, call.Key)
-	}
-	b = http1.AppendField(b, fieldLoadAsk, "TEXT")
-	b = append(b, "\r\n"...)
-	return append(b, call.Body...)
+// message is a call's request; the body is not copied.
+func (c *Client) message(s *Server, call *Call) *net.Buffers {
+	b := make([]byte, 0, 512)
+	b = append(c.Dialect.Head(b, s, call), "\r\n"...)
+	return &net.Buffers{b, call.Body}
 }
 
 // whole reads the rest of an answer and gives the connection back; alive is false when the attempt was called off.
@@ -233,20 +269,14 @@
 	return text, alive, err
 }
 
-// refused reads an answer other than 200 and maps it.
-func (c *Client) refused(a *Attempt, s *Server, k *conn, resp *http1.Response) Outcome {
-	out := Outcome{Result: choice.Errored, Report: c.report(resp), Err: fmt.Errorf("engine: answered %d", resp.Status)}
-	text, _, err := c.whole(a, s, k, resp)
-	switch resp.Status {
-	case 429, 503:
-		if c.Extended && resp.Header.Get(FieldNeverRan) == "1" {
-			out.Result, out.NoState = choice.Turned, resp.Header.Get(FieldNoState) == "1"
-		}
-	case 400, 413, 422:
-		if err == nil {
-			out.Result, out.Reply = choice.Served, &Reply{resp.Status, text}
-		}
+// answered reads an answer that is no stream.
+func (c *Client) answered(a *Attempt, s *Server, k *conn, resp *http1.Response, read bool) Outcome {
+	text, alive, err := c.whole(a, s, k, resp)
+	if resp.Status < 300 && (err != nil || !alive) {
+		return a.ended(err)
 	}
+	out := c.Dialect.Whole(read, resp, text, err)
+	out.Report = c.report(resp.Header.Get(c.Load))
 	return out
 }
 
@@ -256,21 +286,7 @@
 	if failed != nil {
 		return *failed
 	}
-	if resp.Status != 200 {
-		return c.refused(a, s, k, resp)
-	}
-	text, alive, err := c.whole(a, s, k, resp)
-	if err != nil || !alive {
-		return a.ended(err)
-	}
-	reply, err := api.ParseReadReply(text)
-	switch {
-	case err != nil:
-		return Outcome{Result: choice.Errored, Err: err}
-	case reply.KV == nil:
-		return Outcome{Result: choice.Errored, Err: errors.New("engine: a reader answered without kv_transfer_params")}
-	}
-	return Outcome{Result: choice.ReadDone, KV: reply.KV, Kept: reply.Cached, Report: c.report(resp)}
+	return c.answered(a, s, k, resp, true)
 }
 
 // relayBuf bounds what a stream holds between its two sockets in the usual case; only an event that is larger
@@ -286,13 +302,22 @@
 		return *failed
 	}
 	if resp.Status != 200 {
-		return c.refused(a, s, k, resp)
+		return c.answered(a, s, k, resp, false)
+	}
+	if c.HeadTime > 0 { // the first event comes with the head, in time or not at all
+		soon := time.Now().Add(c.StreamIdle)
+		if call.Deadline.Before(soon) {
+			soon = call.Deadline
+		}
+		_ = k.SetReadDeadline(soon)
 	}
 	var body http1.Body
 	body.Reset(k.br, &resp.Message, c.Limits)
 	out := c.relay(a, k, &body, sink)
-	out.Events = a.seen
-	out.Report = c.report(resp)
+	out.Events, out.Kept = a.seen, a.kept
+	if out.Report = a.load; out.Report == nil {
+		out.Report = c.report(resp.Header.Get(c.Load))
+	}
 	clean := out.Result == choice.Served && !resp.Close
 	if clean && !body.Done() { // the last chunk comes right behind the last event
 		_ = k.SetReadDeadline(time.Now().Add(time.Second))
@@ -308,7 +333,7 @@
 func (c *Client) relay(a *Attempt, k *conn, body *http1.Body, sink Sink) Outcome {
 	var pooled *[]byte
 	var buf []byte
-	have := 0
+	have, all := 0, int64(0)
 	free := func() {
 		if pooled != nil {
 			buffers.Put(pooled)
@@ -337,12 +362,18 @@
 			buf = append(buf, make([]byte, len(buf))...) // leaves the pooled one as it was
 		}
 		n, err := body.Read(buf[have:])
-		have += n
+		have, all = have+n, all+int64(n)
 		for err == nil && have < len(buf) && body.Ready() { // what is here already goes out in one write
 			n, err = body.Read(buf[have:])
-			have += n
+			have, all = have+n, all+int64(n)
+		}
+		if c.Stream > 0 && all > c.Stream {
+			return Outcome{Result: choice.Errored, Err: fmt.Errorf("engine: a stream of over %d bytes", c.Stream)}
+		}
+		from, end, out := a.scan(c, buf[:have], sink)
+		if out == nil && c.ToLastChunk && err == io.EOF && a.done {
+			end, out = have, &Outcome{Result: choice.Served} // with what may follow the last event
 		}
-		from, end, out := a.scan(buf[:have], sink)
 		if end > from {
 			if err := sink.Events(buf[from:end], out != nil && out.Result == choice.Served); err != nil {
 				return Outcome{Result: choice.Cancelled, Err: err}
@@ -361,10 +392,17 @@
 	}
 }
 
-var errorEvent = []byte(`{"error"`)
+var errorEvent, usageEvent = []byte(`{"error"`), []byte(`{"choices":[],`)
+
+// comment takes the load report that a stream's comment may hold.
+func (a *Attempt) comment(c *Client, text []byte) {
+	if rest, ok := bytes.CutPrefix(text, []byte(": "+c.Load+": ")); ok && c.ToLastChunk {
+		a.load = c.report(string(bytes.TrimSpace(rest)))
+	}
+}
 
 // scan finds what of buf is to be passed on: events from the first token on. out is set at the stream's end.
-func (a *Attempt) scan(buf []byte, sink Sink) (from, end int, out *Outcome) {
+func (a *Attempt) scan(c *Client, buf []byte, sink Sink) (from, end int, out *Outcome) {
 	for {
 		n := sse.Split(buf[end:])
 		if n == 0 {
@@ -375,7 +413,8 @@
 		case data == nil && !a.begun: // a comment ahead of the answer
 			from = end + n
 		case data == nil:
-		case bytes.HasPrefix(data, errorEvent):
+			a.comment(c, buf[end:end+n])
+		case bytes.HasPrefix(data, errorEvent) && !c.ToLastChunk:
 			return from, end, &Outcome{Result: choice.Errored, Err: fmt.Errorf("engine: error within the stream: %.200s", data)}
 		case !a.begun:
 			if a.begun = sink.Begin(); !a.begun {
@@ -384,37 +423,43 @@
 		}
 		end += n
 		if string(data) == sse.Done {
-			return from, end, &Outcome{Result: choice.Served}
+			if a.done = true; !c.ToLastChunk {
+				return from, end, &Outcome{Result: choice.Served}
+			}
+			continue
 		}
 		if data != nil {
 			a.seen++
+			if bytes.HasPrefix(data, usageEvent) {
+				a.kept = api.Cached(data)
+			}
 		}
 	}
 }
 
-// Release lets go of the state that the read with this id left at s. Without the extension it does nothing:
-// the engine lets go by its own time-out.
+// Releases tells that engines are told to let go of state.
+func (c *Client) Releases() bool { return c.Dialect.Release(&Server{}, "") != nil }
+
+// Release lets go of what id holds at s, trying while there is time. Without such a call in the dialect it does
+// nothing: engines let go by their own time-out.
 func (c *Client) Release(s *Server, id string, deadline time.Time) error {
-	if !c.Extended {
+	message := c.Dialect.Release(s, id)
+	if message == nil {
 		return nil
 	}
-	body, err := json.Marshal(map[string]string{"request_id": id})
-	if err != nil {
-		return err
-	}
 	var last error
 	for try := range 3 { // letting go twice is harmless
 		if try > 0 && time.Until(deadline) <= 0 {
 			break
 		}
-		if last = c.release(s, id, body, deadline); last == nil {
+		if last = c.release(s, message, deadline); last == nil {
 			return nil
 		}
 	}
 	return last
 }
 
-func (c *Client) release(s *Server, id string, body []byte, deadline time.Time) error {
+func (c *Client) release(s *Server, message []byte, deadline time.Time) error {
 	k, err := c.take(nil, s, false, deadline)
 	if err != nil {
 		return err
@@ -424,7 +469,7 @@
 	if err := k.SetDeadline(deadline); err != nil {
 		return err
 	}
-	if _, err := k.Write(c.message(s, &Call{Path: PathRelease, ID: id, Body: body})); err != nil {
+	if _, err := k.Write(message); err != nil {
 		return err
 	}
 	resp, err := http1.ReadResponse(k.br, c.Limits)
@@ -435,7 +480,7 @@
 	b.Reset(k.br, &resp.Message, c.Limits)
 	_, err = http1.ReadAll(&b, c.Reply)
 	clean = err == nil && b.Done() && !resp.Close
-	if resp.Status != 200 && resp.Status != 404 { // 404: nothing is held
+	if !c.Dialect.Released(resp.Status) {
 		return fmt.Errorf("engine: release answered %d", resp.Status)
 	}
 	return err
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -14,7 +14,7 @@
 )
 
 func testClient() *Client {
-	return &Client{Extended: true, DialTime: time.Second, Connections: 4, Idle: 4, IdleTime: time.Minute,
+	return &Client{Dialect: VLLM{Extended: true}, Load: FieldLoad, DialTime: time.Second, Connections: 4, Idle: 4, IdleTime: time.Minute,
 		StreamIdle: 20 * time.Second, Event: 16 << 10, Reply: 1 << 16, Limits: http1.Limits{Head: 4096, Fields: 30}, Report: []string{"kv", "none"}}
 }
 
--- a/internal/engine/orca.go
+++ b/internal/engine/orca.go
@@ -5,16 +5,14 @@
 	"math"
 	"strconv"
 	"strings"
-
-	"brackenbend/internal/http1"
 )
 
 // report reads the load figures that the module asked for, in its order; nil when the answer has none.
-func (c *Client) report(resp *http1.Response) []float64 {
+func (c *Client) report(text string) []float64 {
 	if len(c.Report) == 0 {
 		return nil
 	}
-	figures := ParseLoad(resp.Header.Get(FieldLoad))
+	figures := ParseLoad(text)
 	if figures == nil {
 		return nil
 	}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -23,8 +24,9 @@
 	closed atomic.Bool // told to drain or gone: nothing new
 
 	mu    sync.Mutex
-	idle  []*conn
+	idle  []*conn // the oldest first
 	total int
+	all   *atomic.Int64 // connections to all servers; set with the first
 }
 
 // Shut stops everything new to the server, also what was decided but has not sent its first byte. Idle
@@ -41,15 +43,28 @@
 func (s *Server) IsOpen() bool { return !s.closed.Load() }
 
 // Forget closes idle connections, as after a restart of the process behind the address.
-func (s *Server) Forget() {
+func (s *Server) Forget() { s.retire(func(*conn) bool { return true }) }
+
+// retire closes the idle connections that old names.
+func (s *Server) retire(old func(*conn) bool) {
 	s.mu.Lock()
-	idle := s.idle
-	s.idle = nil
-	s.total -= len(idle)
-	s.mu.Unlock()
-	for _, c := range idle {
-		c.Close()
+	defer s.mu.Unlock()
+	s.idle = slices.DeleteFunc(s.idle, func(k *conn) bool {
+		if !old(k) {
+			return false
+		}
+		s.closed1(k)
+		return true
+	})
+}
+
+// closed1 closes a connection that is off the idle ones and books it out; s.mu is held.
+func (s *Server) closed1(k net.Conn) {
+	if k != nil {
+		k.Close()
 	}
+	s.total--
+	s.all.Add(-1)
 }
 
 // Connections is the number of connections open or being opened.
@@ -72,6 +87,7 @@
 // (zero = none). a, where given, can call the dial off.
 func (c *Client) take(a *Attempt, s *Server, fresh bool, deadline time.Time) (*conn, error) {
 	s.mu.Lock()
+	s.all = &c.all
 	for !fresh && len(s.idle) > 0 {
 		k := s.idle[len(s.idle)-1]
 		s.idle = s.idle[:len(s.idle)-1]
@@ -80,30 +96,72 @@
 			k.reused = true
 			return k, nil
 		}
-		s.total--
-		k.Close()
+		s.closed1(k)
 	}
 	if s.total >= c.Connections {
 		if len(s.idle) == 0 {
 			s.mu.Unlock()
 			return nil, errTooMany
 		}
-		s.idle[0].Close() // a fresh one is wanted: the oldest idle one makes room
+		s.closed1(s.idle[0]) // a fresh one is wanted: the oldest idle one makes room
 		s.idle = s.idle[1:]
-		s.total--
 	}
 	s.total++
 	s.mu.Unlock()
-	nc, err := c.dial(a, s, deadline)
+	var nc net.Conn
+	err := errTooMany
+	if n := c.all.Add(1); c.Total <= 0 || n <= int64(c.Total) || c.makeRoom() {
+		nc, err = c.dial(a, s, deadline)
+	}
 	if err != nil {
 		s.mu.Lock()
-		s.total--
+		s.closed1(nil)
 		s.mu.Unlock()
 		return nil, err
 	}
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096)}, nil
 }
 
+// makeRoom closes the connection that has been idle longest at any server.
+func (c *Client) makeRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var at *Server
+	var since time.Time
+	for s := range c.resting {
+		s.mu.Lock()
+		if len(s.idle) > 0 && (at == nil || s.idle[0].since.Before(since)) {
+			at, since = s, s.idle[0].since
+		}
+		s.mu.Unlock()
+	}
+	if at == nil {
+		return false
+	}
+	at.mu.Lock()
+	defer at.mu.Unlock()
+	if len(at.idle) == 0 { // taken meanwhile
+		return false
+	}
+	at.closed1(at.idle[0])
+	at.idle = at.idle[1:]
+	return true
+}
+
+// Sweep closes connections that have been idle for IdleTime, so that engines need not.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.resting {
+		s.retire(func(k *conn) bool { return time.Since(k.since) >= c.IdleTime })
+		s.mu.Lock()
+		if len(s.idle) == 0 {
+			delete(c.resting, s)
+		}
+		s.mu.Unlock()
+	}
+}
+
 func (c *Client) dial(a *Attempt, s *Server, deadline time.Time) (net.Conn, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -117,15 +175,20 @@
 // give returns a connection after use; only one whose last message ended cleanly is kept.
 func (c *Client) give(s *Server, k *conn, clean bool) {
 	s.mu.Lock()
-	if clean && s.IsOpen() && len(s.idle) < c.Idle && k.br.Buffered() == 0 && k.SetDeadline(time.Time{}) == nil {
-		k.since = time.Now()
-		s.idle = append(s.idle, k)
+	if !clean || !s.IsOpen() || len(s.idle) >= c.Idle || k.br.Buffered() > 0 || k.SetDeadline(time.Time{}) != nil {
+		s.closed1(k)
 		s.mu.Unlock()
 		return
 	}
-	s.total--
+	k.since = time.Now()
+	s.idle = append(s.idle, k)
 	s.mu.Unlock()
-	k.Close()
+	c.mu.Lock()
+	if c.resting == nil {
+		c.resting = map[*Server]struct{}{}
+	}
+	c.resting[s] = struct{}{}
+	c.mu.Unlock()
 }
 
 // quiet tells that the peer has neither closed an idle connection nor sent anything on it. It narrows, but
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -24,18 +23,22 @@
 // while a request is open it waits in a read, which ends when the client hangs up, or when kick moves the read
 // deadline into the past.
 type client struct {
-	f    *Front
-	nc   net.Conn
-	br   *bufio.Reader
-	idle atomic.Bool // between requests
-	fl   atomic.Pointer[flight]
-	sent time.Time // when the write deadline was last set; by whoever writes
+	f         *Front
+	nc        net.Conn
+	br        *bufio.Reader
+	idle      atomic.Bool  // between requests
+	idleSince atomic.Int64 // since when, as Unix time in nanoseconds; 0 = it is not
+	used      bool         // a request came; under f.mu
+	made      time.Time
+	flooded   bool // sent more while a request was open; by its goroutine
+	fl        atomic.Pointer[flight]
+	sent      time.Time // when the write deadline was last set; by whoever writes
 }
 
 var past = time.Unix(1, 0)
 
 func newClient(f *Front, nc net.Conn) *client {
-	return &client{f: f, nc: nc, br: bufio.NewReaderSize(nc, 2048)}
+	return &client{f: f, nc: nc, made: time.Now(), br: bufio.NewReaderSize(nc, 2048)}
 }
 
 // kick ends the goroutine's wait in a read. Callers close the flight's done right after.
@@ -67,7 +70,7 @@
 // write writes within the time that a client may take nothing, or an eighth less: the deadline is not set anew
 // for every token.
 func (c *client) write(b []byte) error {
-	stall := c.f.set.Limits.StallTime
+	stall := c.f.Limits.StallTime
 	if now := time.Now(); now.Sub(c.sent) > stall/8 {
 		if err := c.nc.SetWriteDeadline(now.Add(stall)); err != nil {
 			return err
@@ -94,16 +97,22 @@
 
 // next waits for a request and reads its head.
 func (c *client) next() (*http1.Request, error) {
-	l := c.f.set.Limits
-	if err := c.nc.SetReadDeadline(time.Now().Add(l.IdleTime)); err != nil {
+	l := c.f.Limits
+	idleUntil := time.Now().Add(l.IdleTime)
+	if !c.used && c.f.FirstTime > 0 {
+		idleUntil = c.made.Add(c.f.FirstTime)
+	}
+	if err := c.nc.SetReadDeadline(idleUntil); err != nil {
 		return nil, err
 	}
+	c.idleSince.Store(time.Now().UnixNano())
 	c.idle.Store(true)
 	var err error
 	if !c.f.draining.Load() { // else Shutdown may have looked before idle was set
 		_, err = c.br.Peek(1)
 	}
 	c.idle.Store(false)
+	c.idleSince.Store(0)
 	if c.f.draining.Load() && c.nc.SetReadDeadline(time.Now().Add(c.f.lastLook)) == nil {
 		_, err = c.br.Peek(1)
 	}
@@ -111,13 +120,22 @@
 		return nil, io.EOF
 	}
 	if !http1.HeadBuffered(c.br) {
-		if err := c.nc.SetReadDeadline(time.Now().Add(l.HeadTime)); err != nil {
+		if err := c.nc.SetReadDeadline(c.within(l.HeadTime)); err != nil {
 			return nil, err
 		}
 	}
 	return http1.ReadRequest(c.br, c.f.limits)
 }
 
+// within is the end of a wait for a part of a request: that of a connection's first must be here soon.
+func (c *client) within(wait time.Duration) time.Time {
+	at := time.Now().Add(wait)
+	if first := c.made.Add(c.f.FirstTime); c.f.FirstTime > 0 && !c.used && first.Before(at) {
+		return first
+	}
+	return at
+}
+
 // complain answers what can't be read as a request, and lets the answer arrive before the connection ends.
 func (c *client) complain(err error) {
 	var e *http1.Error
@@ -130,7 +148,7 @@
 	}
 	c.f.m.Turned.WithLabelValues("malformed").Inc()
 	a := &api.Error{Status: e.Status, Type: "invalid_request_error", Code: "malformed", Message: e.Reason}
-	if c.send(answer{status: e.Status, body: a.JSON()}, false) == nil {
+	if c.send(Answer{Status: e.Status, Body: a.JSON()}, false) == nil {
 		c.linger()
 	}
 }
@@ -146,13 +164,17 @@
 }
 
 // send writes an answer that is not a stream.
-func (c *client) send(a answer, keep bool) error {
-	b := make([]byte, 0, 256+len(a.body))
-	b = http1.AppendStatus(b, a.status)
+func (c *client) send(a Answer, keep bool) error {
+	b := make([]byte, 0, 256+len(a.Body))
+	b = http1.AppendStatus(b, a.Status)
 	b = http1.AppendField(b, "Content-Type", "application/json")
-	b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(a.body)))
-	if a.wait > 0 {
-		b = http1.AppendField(b, "Retry-After", strconv.Itoa(int(math.Ceil(a.wait.Seconds()))))
+	b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(a.Body)))
+	if a.wait > 0 && c.f.Waits {
+		seconds := strconv.Itoa(int(math.Ceil(a.wait.Seconds())))
+		if c.f.Fractions {
+			seconds = strconv.FormatFloat(a.wait.Seconds(), 'f', 3, 64)
+		}
+		b = http1.AppendField(b, "Retry-After", seconds)
 		b = http1.AppendField(b, "retry-after-ms", strconv.FormatInt(a.wait.Milliseconds(), 10))
 	}
 	if a.id != "" {
@@ -165,7 +187,7 @@
 		b = http1.AppendField(b, "Connection", "close")
 	}
 	b = append(b, "\r\n"...)
-	b = append(b, a.body...)
+	b = append(b, a.Body...)
 	if bend := c.f.seam.Answer; bend != nil {
 		b = bend(b)
 	}
@@ -176,32 +198,18 @@
 func (c *client) handle(req *http1.Request) bool {
 	var body http1.Body
 	body.Reset(c.br, &req.Message, c.f.limits)
-	path := req.Path()
-	switch {
-	case path == api.PathChat || path == api.PathCompletions:
-		if req.Method != "POST" {
-			return c.reject(req, &body, &api.Error{Status: 405, Type: "invalid_request_error", Message: "use POST"})
-		}
-		return c.completion(req, &body)
-	case path == api.PathModels || strings.HasPrefix(path, api.PathModels+"/"):
-		if req.Method != "GET" {
-			return c.reject(req, &body, &api.Error{Status: 405, Type: "invalid_request_error", Message: "use GET"})
-		}
-		text, e := c.f.routes.Load().ModelList(strings.TrimPrefix(strings.TrimPrefix(path, api.PathModels), "/"))
-		if e != nil {
-			return c.reject(req, &body, e)
-		}
-		return c.simple(req, &body, answer{status: 200, body: text})
+	if a := c.f.Way.Plain(req); a != nil {
+		return c.simple(req, &body, *a)
 	}
-	return c.reject(req, &body, &api.Error{Status: 404, Type: "invalid_request_error", Code: "not_found", Message: "nothing is served at this path"})
+	return c.completion(req, &body)
 }
 
 func (c *client) reject(req *http1.Request, body *http1.Body, e *api.Error) bool {
-	return c.simple(req, body, answer{status: e.Status, body: e.JSON()})
+	return c.simple(req, body, Answer{Status: e.Status, Body: e.JSON()})
 }
 
 // simple answers without a flight. A body that was not read ends the connection.
-func (c *client) simple(req *http1.Request, body *http1.Body, a answer) bool {
+func (c *client) simple(req *http1.Request, body *http1.Body, a Answer) bool {
 	keep := !req.Close && body.Done() && !c.f.draining.Load()
 	if c.send(a, keep) != nil {
 		return false
@@ -216,15 +224,15 @@
 func (c *client) turn(req *http1.Request, body *http1.Body, reason, message string) bool {
 	c.f.m.Turned.WithLabelValues(reason).Inc()
 	e := &api.Error{Status: 503, Type: "server_error", Code: "overloaded", Message: message}
-	return c.simple(req, body, answer{status: 503, body: e.JSON(), wait: time.Second})
+	return c.simple(req, body, Answer{Status: 503, Body: e.JSON(), wait: time.Second})
 }
 
 func (c *client) completion(req *http1.Request, body *http1.Body) bool {
 	f := c.f
-	if f.draining.Load() {
+	if f.draining.Load() && f.Linger == 0 {
 		return c.turn(req, body, "draining", "this front is going down; nothing was done")
 	}
-	if f.open.Add(1) > int64(f.set.Limits.Open) {
+	if f.open.Add(1) > int64(f.Limits.Open) {
 		f.open.Add(-1)
 		return c.turn(req, body, "open requests", "too many requests are open at this front; nothing was done")
 	}
@@ -232,10 +240,10 @@
 	defer func() { f.open.Add(-1); f.m.Open.Dec() }()
 	size := req.Length
 	if size < 0 {
-		size = int64(f.set.Limits.Body)
+		size = int64(f.Limits.Body)
 	}
-	fits := size <= int64(f.set.Limits.Body)
-	if fits && f.bodies.Add(size) > int64(f.set.Limits.BodyMemory) {
+	fits := size <= int64(f.Limits.Body)
+	if fits && f.bodies.Add(size) > int64(f.Limits.BodyMemory) {
 		f.bodies.Add(-size)
 		return c.turn(req, body, "body memory", "too many bytes of requests are held at this front; nothing was done")
 	}
@@ -250,11 +258,11 @@
 		}
 	}
 	if req.Chunked || req.Length > int64(c.br.Buffered()) {
-		if c.nc.SetReadDeadline(time.Now().Add(f.set.Limits.BodyTime)) != nil {
+		if c.nc.SetReadDeadline(c.within(f.Limits.BodyTime)) != nil {
 			return false
 		}
 	}
-	text, err := http1.ReadAll(body, int64(f.set.Limits.Body))
+	text, err := http1.ReadAll(body, int64(f.Limits.Body))
 	if err != nil {
 		c.complain(err)
 		return false
@@ -264,6 +272,18 @@
 		f.m.Turned.WithLabelValues("invalid").Inc()
 		return c.reject(req, body, e)
 	}
+	if f.OneByOne && c.br.Buffered() > 0 { // the client may have given up on the one before it
+		f.m.Turned.WithLabelValues("pipelined").Inc()
+		return c.reject(&http1.Request{Message: http1.Message{Close: true}}, body, oneByOne)
+	}
+	if !f.claim(fl.name) {
+		f.m.Turned.WithLabelValues("open already").Inc()
+		return c.reject(req, body, &api.Error{Status: 409, Type: "invalid_request_error", Code: "open_already", Message: "a request of this id is open"})
+	}
+	defer f.unclaim(fl.name)
+	f.mu.Lock()
+	c.used = true
+	f.mu.Unlock()
 	fl.bytes.Store(int64(len(text)))
 	f.bodies.Add(int64(len(text)) - booked)
 	booked = 0
@@ -274,22 +294,10 @@
 // flight reads a request's traits and makes its flight.
 func (c *client) flight(req *http1.Request, body []byte) (*flight, *api.Error) {
 	f := c.f
-	r, e := api.Parse(req.Path(), body)
+	t, e := f.Way.Take(req, body)
 	if e != nil {
 		return nil, e
 	}
-	t, e := f.routes.Load().Classify(r, req.Header)
-	if e != nil {
-		return nil, e
-	}
-	class := &f.classes[t.Class]
-	if class.Effect == choice.Keyed && t.IdempotencyKey == "" {
-		return nil, &api.Error{Status: 400, Type: "invalid_request_error", Code: "idempotency_key_missing",
-			Message: "requests of the class " + class.Name + " need an Idempotency-Key header"}
-	}
-	if class.Effect != choice.Keyed {
-		t.IdempotencyKey = ""
-	}
 	n := f.ids.Add(1)
 	if n > math.MaxUint32 {
 		f.draining.Store(true)
@@ -297,27 +305,47 @@
 		return nil, &api.Error{Status: 503, Type: "server_error", Message: "this front must be restarted; nothing was done"}
 	}
 	now := time.Now()
-	fl := &flight{id: choice.RequestID(n), req: r, traits: t, class: class, to: c, chunks: req.Minor == 1, taken: now,
-		keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{})}
-	told := api.ClientTime(req.Header)
-	wait := api.Wait(class.Deadline, told)
+	fl := &flight{id: choice.RequestID(n), name: t.ID, ask: t.Event, prompt: t.Prompt, path: t.Path, key: t.Key, class: &f.classes[t.Event.Class],
+		to: c, chunks: req.Minor == 1, taken: now, keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{}), whole: t.Whole}
+	wait := t.Wait
 	if bend := f.seam.Wait; bend != nil {
 		wait = bend(wait)
 	}
-	fl.due = now.Add(api.Within(wait, f.set.Front.Margin))
-	if !r.Stream {
-		fl.whole = api.NewWhole(r.Chat, int(f.set.Limits.Whole))
-		if told > 0 {
-			fl.last = now.Add(api.Within(told, f.set.Front.Margin))
-		}
+	fl.due = now.Add(api.Within(wait, f.Margin))
+	if t.Last > 0 {
+		fl.last = now.Add(api.Within(t.Last, f.Margin))
 	}
 	return fl, nil
 }
 
+var oneByOne = &api.Error{Status: 400, Type: "invalid_request_error", Code: "pipelined", Message: "one request at a time on a connection"}
+
+// claim takes the client's own id of a request for it; false: an open one has it.
+func (f *Front) claim(name string) bool {
+	if name == "" {
+		return true
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if _, open := f.names[name]; open {
+		return false
+	}
+	f.names[name] = struct{}{}
+	return true
+}
+
+func (f *Front) unclaim(name string) {
+	if name != "" {
+		f.mu.Lock()
+		delete(f.names, name)
+		f.mu.Unlock()
+	}
+}
+
 // fly hands a flight to the loop and sees it to its end.
 func (c *client) fly(fl *flight) bool {
 	f := c.f
-	backstop := fl.due.Add(f.set.Front.Margin / 2)
+	backstop := fl.due.Add(f.Margin / 2)
 	if c.nc.SetReadDeadline(backstop) != nil {
 		return false
 	}
@@ -332,11 +360,11 @@
 	if left {
 		return false
 	}
-	if fl.answer.status == 0 { // it was a stream
-		return fl.keep && fl.result != "gone" && !f.draining.Load()
+	if fl.answer.Status == 0 { // it was a stream
+		return fl.keep && !c.flooded && fl.result != "gone" && (fl.result != "broken" || !f.CutBroken) && !f.draining.Load()
 	}
-	keep := fl.keep && !f.draining.Load()
-	fl.answer.id = f.wideID(fl.id, 0)
+	keep := fl.keep && !c.flooded && !f.draining.Load()
+	fl.answer.id = fl.title()
 	return c.send(fl.answer, keep) == nil && keep
 }
 
@@ -345,6 +373,14 @@
 	for {
 		_, err := c.br.Peek(1)
 		switch {
+		case err == nil && c.f.OneByOne: // no client that waits for its answer sends this
+			if fl.finish(Answer{Status: oneByOne.Status, Body: oneByOne.JSON()}) {
+				fl.keep = false
+				c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
+				return false
+			}
+			c.flooded = true
+			return c.awaitDone(fl, backstop)
 		case err == nil: // the next request is here already: no hang-up can be seen from now on
 			return c.awaitDone(fl, backstop)
 		case errors.Is(err, os.ErrDeadlineExceeded):
@@ -395,7 +431,7 @@
 	case fl.state.Load() == open && !now.Before(backstop):
 		if fl.finish(failure(fl)) {
 			c.f.m.Backstops.Inc()
-			c.f.log.Error("no decision came in the client's time", zap.String("id", c.f.wideID(fl.id, 0)))
+			c.f.log.Error("no decision came in the client's time", zap.String("id", fl.title()))
 			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
 		}
 	}
@@ -417,7 +453,7 @@
 		return true
 	}
 	<-fl.done
-	return fl.answer.status != 0 || fl.result == "gone"
+	return fl.answer.Status != 0 || fl.result == "gone"
 }
 
 // callOff ends the attempt that streams.
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -29,8 +29,11 @@
 // flight is one request from the moment it is taken until its last attempt has ended.
 type flight struct {
 	id     choice.RequestID
-	req    *api.Request
-	traits api.Traits
+	name   string         // by its client; "" = none
+	ask    choice.Request // as the module is told, but for ID and Due
+	prompt Prompt
+	path   string // towards engines
+	key    string // Idempotency-Key
 	class  *choice.Class
 	to     *client
 	whole  *api.Whole // collects the answer for a client that does not stream
@@ -42,7 +45,7 @@
 
 	state  atomic.Int32
 	done   chan struct{} // closed once the answer is set or the stream has ended
-	answer answer        // set before done is closed, by the owner of the answer
+	answer Answer        // set before done is closed, by the owner of the answer
 	result string        // for the log, as answer
 	events atomic.Int64  // of the stream
 	first  atomic.Int64  // nanoseconds from taken to the first token
@@ -52,33 +55,34 @@
 	bytes    atomic.Int64 // of its body, as booked with the front
 
 	// owned by the loop
-	out int
-	kv  json.RawMessage
+	out   int
+	kv    json.RawMessage
+	holds bool // the module wants what it may hold let go
 }
 
-// answer is what a client gets that is not a stream.
-type answer struct {
-	status  int
-	body    []byte
+// Answer is what a client gets that is not a stream.
+type Answer struct {
+	Status  int
+	Body    []byte
 	wait    time.Duration // with a refusal
 	noRetry bool
 	id      string // X-Request-Id; "" where no flight was made
 }
 
-func refusal(a choice.Refuse) answer {
+func refusal(a choice.Refuse) Answer {
 	e := &api.Error{Status: 429, Type: "rate_limit_error", Code: "busy", Message: "not now; trying again after the told wait is harmless"}
-	return answer{status: 429, body: e.JSON(), wait: a.Wait, noRetry: a.HandUp}
+	return Answer{Status: 429, Body: e.JSON(), wait: a.Wait, noRetry: a.HandUp}
 }
 
 // repeated answers a repeat that was not begun.
-func repeated() answer {
+func repeated() Answer {
 	e := &api.Error{Status: 502, Type: "server_error", Code: "earlier_try_may_have_run", Message: "the client repeated this request by itself " +
 		"(X-Stainless-Retry-Count), and an earlier try may have run; this one did not. Find out whether it ran before asking anew"}
-	return answer{status: e.Status, body: e.JSON(), noRetry: true}
+	return Answer{Status: e.Status, Body: e.JSON(), noRetry: true}
 }
 
 // failure promises nothing about effects: where one may have happened, SDKs are told not to retry by themselves.
-func failure(fl *flight) answer {
+func failure(fl *flight) Answer {
 	e := &api.Error{Status: 502, Type: "server_error", Code: "failed", Message: "the request failed; it may have run"}
 	if fl.class.Effect == choice.Safe {
 		e.Message = "the request failed; it is safe to try again"
@@ -86,7 +90,15 @@
 	if !time.Now().Before(fl.due) {
 		e.Status, e.Code = 504, "timeout"
 	}
-	return answer{status: e.Status, body: e.JSON(), noRetry: fl.class.Effect != choice.Safe}
+	return Answer{Status: e.Status, Body: e.JSON(), noRetry: fl.class.Effect != choice.Safe}
+}
+
+// title is what the request goes by in answers and logs.
+func (fl *flight) title() string {
+	if fl.name != "" {
+		return fl.name
+	}
+	return fl.to.f.wideID(fl.id, 0)
 }
 
 // freeBody gives the body's bytes back to the front's bound.
@@ -101,17 +113,17 @@
 }
 
 // finish sets the final answer if there is none yet.
-func (fl *flight) finish(a answer) bool { return fl.settle(open, a) }
+func (fl *flight) finish(a Answer) bool { return fl.settle(open, a) }
 
-func (fl *flight) settle(from int32, a answer) bool {
+func (fl *flight) settle(from int32, a Answer) bool {
 	if !fl.state.CompareAndSwap(from, answered) {
 		return false
 	}
 	fl.answer = a
 	switch {
-	case a.status == 429:
+	case a.Status == 429:
 		fl.result = "refused"
-	case a.status >= 500:
+	case a.Status >= 500:
 		fl.result = "failed"
 	default:
 		fl.result = "served"
@@ -133,7 +145,8 @@
 	handle   engine.Attempt
 	began    time.Time
 	ended    chan struct{}
-	unsent   bool // set before ended is closed
+	unsent   bool // set before ended is closed: the engine never ran it
+	unclear  bool // so is this: it may have left a state that nobody was told of
 	released bool // by the loop
 	owns     bool // the client's answer; set by Begin
 	post     func(item)
@@ -156,16 +169,16 @@
 //
 //go:noinline
 func (a *attempt) perform(l *loop) engine.Outcome {
-	call := engine.Call{Path: a.fl.req.Path, ID: a.id, Key: a.fl.traits.IdempotencyKey, Deadline: a.limit}
+	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
 	if a.write {
-		call.Body = a.fl.req.WriteBody(a.kv, a.fl.whole != nil)
-		call.Once = a.fl.class.Effect == choice.Unsafe
+		call.Body = a.fl.prompt.WriteBody(a.kv, a.fl.whole != nil)
+		call.Once = a.fl.class.Effect == choice.Unsafe && !l.client.WholeSent
 		return l.client.Write(&a.handle, a.srv, call, a)
 	}
-	call.Body = a.fl.req.ReadBody()
+	call.Body = a.fl.prompt.ReadBody()
 	return l.client.Read(&a.handle, a.srv, call)
 }
 
@@ -182,8 +195,9 @@
 	a.resultMu.Unlock()
 	over := a.finish(out)
 	a.unsent = out.Result == choice.NotSent || out.Result == choice.ConnectFailed || out.Result == choice.Turned
+	a.unclear = !a.write && !a.unsent && out.Result != choice.ReadDone
 	close(a.ended)
-	if !a.write && out.Result != choice.ReadDone { // a state that it may have left is known to nobody
+	if !a.write && out.Result != choice.ReadDone && !l.client.ByRequest { // a state that it may have left is known to nobody
 		l.work.Add(1)
 		go func() {
 			defer l.work.Done()
@@ -196,22 +210,16 @@
 
 // letGo tells the reader to let go of the state of this attempt, which has ended.
 func (a *attempt) letGo(l *loop) {
-	if a.unsent || !l.client.Extended {
-		return
-	}
-	result := "done"
-	if err := l.client.Release(a.srv, a.id, time.Now().Add(l.releaseTime())); err != nil {
-		result = "failed"
-		l.f.log.Warn("read state not let go", zap.String("engine", a.srv.Name), zap.String("attempt", a.id), zap.Error(err))
+	if !a.unsent && l.client.Releases() {
+		l.letGo(a.id, []*engine.Server{a.srv})
 	}
-	l.f.m.Releases.WithLabelValues(result).Inc()
 }
 
 // finish ends the client's answer where this attempt owns it, and tells whether the request is over by it.
 func (a *attempt) finish(out *engine.Outcome) (over bool) {
 	fl := a.fl
 	if out.Reply != nil { // the engine blames the request; its word is the answer
-		return fl.finish(answer{status: out.Reply.Status, body: out.Reply.Body})
+		return fl.finish(Answer{Status: out.Reply.Status, Body: out.Reply.Body})
 	}
 	if !a.owns {
 		return false
@@ -223,7 +231,7 @@
 			fl.settle(streaming, failure(fl))
 			return true
 		}
-		fl.settle(streaming, answer{status: 200, body: body})
+		fl.settle(streaming, Answer{Status: 200, Body: body})
 		return true
 	}
 	a.endStream(out)
@@ -238,11 +246,13 @@
 	b := a.out // with the head, where no event followed it
 	if out.Result != choice.Served {
 		fl.result = "broken"
+	}
+	if out.Result != choice.Served && !fl.to.f.CutBroken {
 		e := &api.Error{Type: "server_error", Code: "stream_broken", Message: "the stream broke; it may have run on"}
 		ev := append(append([]byte("data: "), e.JSON()...), "\n\n"...)
 		b = a.frame(b, ev)
 	}
-	if a.broken == nil {
+	if a.broken == nil && (fl.result == "served" || !fl.to.f.CutBroken) {
 		if fl.chunks {
 			b = append(b, http1.LastChunk...)
 		}
@@ -250,7 +260,7 @@
 			a.broken = fl.to.write(b)
 		}
 	}
-	if a.broken != nil {
+	if a.broken != nil && fl.result == "served" {
 		fl.result = "gone"
 	}
 	a.out = b
@@ -288,7 +298,7 @@
 		return false
 	}
 	a.owns = true
-	fl.req = nil // no further attempt needs it, and a stream may last
+	fl.prompt = nil // no further attempt needs it, and a stream may last
 	fl.freeBody()
 	since := time.Since(fl.taken)
 	fl.first.Store(int64(since))
@@ -299,7 +309,7 @@
 		b := http1.AppendStatus(a.out, 200)
 		b = http1.AppendField(b, "Content-Type", "text/event-stream; charset=utf-8")
 		b = http1.AppendField(b, "Cache-Control", "no-cache")
-		b = http1.AppendField(b, engine.FieldID, fl.to.f.wideID(fl.id, 0))
+		b = http1.AppendField(b, engine.FieldID, fl.title())
 		if fl.chunks {
 			b = http1.AppendField(b, "Transfer-Encoding", "chunked")
 		}
@@ -389,12 +399,12 @@
 		a.resultMu.Unlock()
 	}
 	fl.mu.Unlock()
-	ce.Write(zap.String("id", f.wideID(fl.id, 0)), zap.String("class", fl.class.Name), zap.Int("status", fl.answer.status),
-		zap.Int("prompt_tokens", int(math.Round(fl.traits.PromptLen))), zap.Duration("first_token", time.Duration(fl.first.Load())),
+	ce.Write(zap.String("id", fl.title()), zap.String("class", fl.class.Name), zap.Int("status", fl.answer.Status),
+		zap.Int("prompt_tokens", int(math.Round(fl.ask.PromptLen))), zap.Duration("first_token", time.Duration(fl.first.Load())),
 		zap.Duration("took", time.Since(fl.taken)), zap.Strings("attempts", trail),
-		zap.String("tenant", f.tenant(fl.traits.Tenant)), zap.String("session", strconv.FormatUint(fl.traits.Session, 16)),
-		zap.String("prefix", prefixName(fl.traits.Prefix)), zap.Int("prefix_tokens", int(math.Round(fl.traits.PrefixLen))),
-		zap.Int("max_out", int(fl.traits.MaxOut)), zap.Int64("events", fl.events.Load()), zap.Bool("stream", fl.whole == nil))
+		zap.String("tenant", f.tenant(fl.ask.Tenant)), zap.String("session", strconv.FormatUint(fl.ask.Session, 16)),
+		zap.String("prefix", prefixName(fl.ask.Prefix)), zap.Int("prefix_tokens", int(math.Round(fl.ask.PrefixLen))),
+		zap.Int("max_out", int(fl.ask.MaxOut)), zap.Int64("events", fl.events.Load()), zap.Bool("stream", fl.whole == nil))
 }
 
 // prefixName is how a shared beginning goes by in the log; "" = none.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -9,6 +9,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -28,14 +29,65 @@
 	"brackenbend/internal/register"
 )
 
-// Front is one front. Make it with New, give it lists with Deliver, run it with Serve.
+// Way is a way in: the protocol that clients speak. OpenAI's is this product's own; a platform may bring another.
+type Way interface {
+	// Plain answers what needs neither body nor decision; nil: the body is to be read, and Take asked.
+	Plain(req *http1.Request) *Answer
+	// Take reads a request for an answer.
+	Take(req *http1.Request, body []byte) (*Taken, *api.Error)
+}
+
+// Taken is a request as its way in read it.
+type Taken struct {
+	Event  choice.Request // but for ID and Due
+	Prompt Prompt
+	Path   string        // towards engines
+	ID     string        // the client's own id of the request, not to be used by two at once; "" = none
+	Key    string        // Idempotency-Key
+	Wait   time.Duration // how long the client waits for the first token
+	Whole  *api.Whole    // collects the answer for a client that does not stream
+	Last   time.Duration // how long it waits for a whole answer; 0 = not told
+}
+
+// Prompt makes the bodies of a request's calls.
+type Prompt interface {
+	ReadBody() []byte
+	WriteBody(kv json.RawMessage, usage bool) []byte
+}
+
+// Options are what a front is made of.
+type Options struct {
+	Choice  choice.Settings
+	Kinds   []string // names, as lists give them
+	Tenants []string
+	Seed    uint64
+	Way     Way
+	Engines *engine.Client
+	Limits  config.Limits // all are set
+	Margin  time.Duration // final answers are due so long before the client's time is up
+	// FirstTime is how long a new connection has for its first request; 0 = as later ones.
+	FirstTime time.Duration
+	// IdleLeast is how long an idle connection stays at least when connections are short; 0 = none is closed for that.
+	IdleLeast time.Duration
+	// Linger is how long a front that ends still takes in new connections and requests; 0 = it refuses them, and waits
+	// lastLook for those that are on their way.
+	Linger time.Duration
+	// CutBroken: a stream that broke ends with its connection, else with an error event.
+	CutBroken bool
+	// OneByOne: a client has one request at a time on a connection; what sends more is answered with an error.
+	OneByOne bool
+	// Waits: refusals say when to come back, in fractions of seconds where Fractions is set.
+	Waits, Fractions bool
+}
+
+// Front is one front. Make it with New or Make, give it lists with Deliver, run it with Serve.
 type Front struct {
-	set     *config.Settings
+	Options
+	set     *config.Settings // of New
 	seam    Seam
 	classes []choice.Class
 	kinds   []choice.Kind
 	limits  http1.Limits
-	routes  atomic.Pointer[api.Classifier]
 	log     *zap.Logger
 	m       *obs.Metrics
 	loop    *loop
@@ -47,38 +99,55 @@
 
 	mu       sync.Mutex
 	conns    map[*client]struct{}
+	names    map[string]struct{} // ids of open requests, where clients give them
 	draining atomic.Bool
 	lastLook time.Duration // set before it drains
 	listener net.Listener
 	wait     sync.WaitGroup
 }
 
-// New makes a front from checked settings.
+// New makes a front for OpenAI's API and vLLM engines from checked settings.
 func New(set *config.Settings, log *zap.Logger, m *obs.Metrics) (*Front, error) {
+	e := set.Engines
+	o := Options{Choice: set.Choice(), Seed: uint64(set.Front.Seed), Way: newOpenAI(set), Limits: *set.Limits, Margin: set.Front.Margin, Waits: true,
+		Engines: &engine.Client{Dialect: engine.VLLM{Extended: e.Dialect == "extended", Agent: Agent(set)}, Load: engine.FieldLoad,
+			DialTime: e.DialTime, Connections: e.Connections, Idle: e.Idle, IdleTime: e.IdleTime, StreamIdle: set.Limits.StreamIdle,
+			Event: int(set.Limits.Event), Reply: int64(set.Limits.Whole), Limits: http1.Limits{Head: 64 << 10, Fields: 200}}}
+	for _, k := range set.Kinds {
+		o.Kinds = append(o.Kinds, k.Name)
+	}
+	for _, t := range set.Tenants {
+		o.Tenants = append(o.Tenants, t.Name)
+	}
+	f, err := Make(o, log, m)
+	if err == nil {
+		f.set = set
+	}
+	return f, err
+}
+
+// Make makes a front.
+func Make(o Options, log *zap.Logger, m *obs.Metrics) (*Front, error) {
 	var random [16]byte
 	if _, err := rand.Read(random[:]); err != nil {
 		return nil, err
 	}
-	seed := binary.LittleEndian.Uint64(random[:8])
-	if set.Front.Seed != 0 {
-		seed = uint64(set.Front.Seed)
+	if o.Seed == 0 {
+		o.Seed = binary.LittleEndian.Uint64(random[:8])
 	}
-	cs := set.Choice()
 	seam := Bend
 	if seam.Settings != nil {
-		seam.Settings(&cs)
+		seam.Settings(&o.Choice)
 	}
-	router, err := choice.New(cs, seed)
+	router, err := choice.New(o.Choice, o.Seed)
 	if err != nil {
 		return nil, err
 	}
-	f := &Front{set: set, seam: seam, classes: cs.Classes, kinds: cs.Kinds, limits: set.HTTP(), log: log, m: m, conns: map[*client]struct{}{},
-		run: fmt.Sprintf("%x", random[8:]), lastLook: lastLook}
-	f.routes.Store(set.Classifier())
-	e := set.Engines
-	f.loop = newLoop(f, router, &engine.Client{Agent: Agent(set), Report: cs.ReportFields, Extended: e.Dialect == "extended", DialTime: e.DialTime, Connections: e.Connections,
-		Idle: e.Idle, IdleTime: e.IdleTime, StreamIdle: set.Limits.StreamIdle, Event: int(set.Limits.Event),
-		Reply: int64(set.Limits.Whole), Limits: http1.Limits{Head: 64 << 10, Fields: 200}})
+	f := &Front{Options: o, seam: seam, classes: o.Choice.Classes, kinds: o.Choice.Kinds, log: log, m: m, conns: map[*client]struct{}{},
+		limits: http1.Limits{Head: int(o.Limits.Head), Fields: o.Limits.Fields}, names: map[string]struct{}{},
+		run: fmt.Sprintf("%x", random[8:]), lastLook: max(lastLook, o.Linger)}
+	o.Engines.Report = o.Choice.ReportFields
+	f.loop = newLoop(f, router, o.Engines)
 	return f, nil
 }
 
@@ -94,7 +163,7 @@
 	if err := config.SameButRoutes(f.set, set); err != nil {
 		return err
 	}
-	f.routes.Store(set.Classifier())
+	f.Way.(*openAI).routes.Store(set.Classifier())
 	return nil
 }
 
@@ -145,7 +214,7 @@
 
 func (f *Front) accept(nc net.Conn) {
 	f.mu.Lock()
-	if len(f.conns) >= f.set.Limits.Connections {
+	if len(f.conns) >= f.Limits.Connections && !f.makeRoom() {
 		f.mu.Unlock()
 		f.m.Turned.WithLabelValues("connections").Inc()
 		nc.Close()
@@ -166,11 +235,36 @@
 	}()
 }
 
+// makeRoom ends the connection that has been idle longest, where that is long enough; one that has not sent anything
+// yet owes its request at once and goes first. f.mu is held.
+func (f *Front) makeRoom() bool {
+	if f.IdleLeast == 0 {
+		return false
+	}
+	now := time.Now().UnixNano()
+	var oldest *client
+	for c := range f.conns {
+		since := c.idleSince.Load()
+		if since == 0 || c.used && now-since < int64(f.IdleLeast) || oldest != nil && !oldest.used && c.used {
+			continue
+		}
+		if oldest == nil || oldest.used && !c.used || since < oldest.idleSince.Load() {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(f.conns, oldest)
+	oldest.nc.Close()
+	return true
+}
+
 // Shutdown stops accepting, lets what is held be answered until ctx ends, then fails the rest, which promises
 // nothing about effects. It returns when no connection and no attempt is left.
 func (f *Front) Shutdown(ctx context.Context) {
-	f.draining.Store(true)
 	f.mu.Lock()
+	f.draining.Store(true)
 	if t, ok := f.listener.(*net.TCPListener); ok { // those in the backlog are taken in and told
 		_ = t.SetDeadline(time.Now().Add(f.lastLook))
 	} else if f.listener != nil {
@@ -203,8 +297,8 @@
 }
 
 func (f *Front) tenant(i int) string {
-	if i < len(f.set.Tenants) {
-		return f.set.Tenants[i].Name
+	if i >= 0 && i < len(f.Tenants) {
+		return f.Tenants[i]
 	}
 	return ""
 }
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -205,47 +205,57 @@
 	return r, nil
 }
 
-// ReadResponse reads one response head, passing over interim (1xx) ones, eight at most.
+// MostInterim is how many heads are read for one response, interim (1xx) ones included.
+const MostInterim = 8
+
+// ReadResponse reads one response head, passing over interim ones.
 func ReadResponse(br *bufio.Reader, lim Limits) (*Response, error) {
-	for range 8 {
-		head, err := readHead(br, lim.Head, false)
-		if err != nil {
-			return nil, err
-		}
-		line, rest, _ := strings.Cut(head, "\r\n")
-		proto, line, ok := strings.Cut(line, " ")
-		code, _, _ := strings.Cut(line, " ")
-		status, err := strconv.Atoi(code)
-		if !ok || err != nil || len(code) != 3 || status < 100 || status > 599 {
-			return nil, bad("malformed status line")
-		}
-		r := &Response{Status: status}
-		if r.Minor, err = version(proto); err != nil {
-			return nil, err
-		}
-		if err := r.fields(rest, lim.Fields); err != nil {
-			return nil, err
-		}
-		if status == 101 {
-			return nil, bad("protocol switch that nobody asked for")
-		}
-		if status < 200 {
-			continue
-		}
-		if err := r.frame(); err != nil {
-			return nil, err
+	for range MostInterim {
+		if r, err := ReadHead(br, lim); err != nil || r.Status >= 200 {
+			return r, err
 		}
-		if status == 204 || status == 304 {
-			r.Length, r.Chunked = 0, false
-		}
-		if r.Length < 0 && !r.Chunked {
-			r.Close = true // the body runs until the connection ends
-		}
-		return r, nil
 	}
 	return nil, bad("too many interim responses")
 }
 
+// ReadHead reads one response head, which may be interim.
+func ReadHead(br *bufio.Reader, lim Limits) (*Response, error) {
+	head, err := readHead(br, lim.Head, false)
+	if err != nil {
+		return nil, err
+	}
+	line, rest, _ := strings.Cut(head, "\r\n")
+	proto, line, ok := strings.Cut(line, " ")
+	code, _, _ := strings.Cut(line, " ")
+	status, err := strconv.Atoi(code)
+	if !ok || err != nil || len(code) != 3 || status < 100 || status > 599 {
+		return nil, bad("malformed status line")
+	}
+	r := &Response{Status: status}
+	if r.Minor, err = version(proto); err != nil {
+		return nil, err
+	}
+	if err := r.fields(rest, lim.Fields); err != nil {
+		return nil, err
+	}
+	if status == 101 {
+		return nil, bad("protocol switch that nobody asked for")
+	}
+	if status < 200 {
+		return r, nil
+	}
+	if err := r.frame(); err != nil {
+		return nil, err
+	}
+	if status == 204 || status == 304 {
+		r.Length, r.Chunked = 0, false
+	}
+	if r.Length < 0 && !r.Chunked {
+		r.Close = true // the body runs until the connection ends
+	}
+	return r, nil
+}
+
 func version(proto string) (int, error) {
 	switch proto {
 	case "HTTP/1.1":
--- /dev/null
+++ b/internal/node/budget.go
@@ -0,0 +1,85 @@
+package node
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"brackenbend/internal/config"
+)
+
+// socketsLeast is the fewest descriptors that a front node can work with.
+const socketsLeast = 48
+
+// Budget is how a front node's limits are split.
+type Budget struct {
+	Clients   int   // connections of clients
+	Engines   int   // connections to engines, in all
+	PerEngine int   // and to one
+	Open      int   // requests
+	Bodies    int64 // bytes of bodies held at once
+	Heap      int64 // the runtime's soft limit
+	Floor     uint64
+	Procs     int
+}
+
+const (
+	otherSockets = 16        // the listener, discovery, the runtime's own, standard streams, and some to spare
+	unlimited    = 4096      // sockets where none are told
+	roomy        = 512 << 20 // bytes of memory where none are told
+)
+
+// Split derives the budget from the limits. Clients' requests hold a third of the descriptors at most, each may need
+// one towards an engine, and connections that ask for nothing get what is left.
+func (c *Config) Split() Budget {
+	sockets, memory := c.Sockets, c.Memory
+	if sockets == 0 {
+		sockets = unlimited
+	}
+	if memory == 0 {
+		memory = roomy
+	}
+	left := sockets - otherSockets
+	b := Budget{Clients: left / 2, Procs: max(int(math.Ceil(c.Cores)), 1)}
+	b.Engines = left - b.Clients
+	b.PerEngine = b.Engines
+	b.Open = b.Clients
+	if c.Site.MaxOpen > 0 {
+		b.Open = min(b.Open, c.Site.MaxOpen)
+	}
+	b.Heap = memory * 6 / 10
+	b.Floor = uint64(memory / 5)
+	b.Bodies = memory / 6
+	return b
+}
+
+// apply gives the runtime its part; undo takes it back.
+func (b Budget) apply() (undo func()) {
+	procs := runtime.GOMAXPROCS(b.Procs)
+	limit := debug.SetMemoryLimit(b.Heap)
+	return func() {
+		runtime.GOMAXPROCS(procs)
+		debug.SetMemoryLimit(limit)
+	}
+}
+
+// The platform's own figures (its protocol page), with time to spare on each.
+const (
+	bodyMost    = 256 << 10               // of any message
+	streamQuiet = 4 * time.Second         // a client is not left waiting 5 s after an engine's last event
+	firstTime   = 2500 * time.Millisecond // a client that asks for nothing is owed a close within 3 s
+	idleLeast   = 2 * time.Second         // an idle client's connection may be closed after so long
+	linger      = 600 * time.Millisecond  // after SIGTERM connections keep coming for 0.4 s
+	headTime    = 500 * time.Millisecond  // an answer's head comes at once with its first event
+	margin      = 20 * time.Millisecond   // final answers before the client's time is up
+	dialTime    = 250 * time.Millisecond  // where the settings tell none
+	idleTime    = 30 * time.Second        // likewise
+)
+
+// limits are the front's, from the budget.
+func (b Budget) limits() config.Limits {
+	return config.Limits{Open: b.Open, Connections: b.Clients, Head: 16 << 10, Fields: 100, Body: bodyMost, Whole: bodyMost, Event: 64 << 10,
+		HeadTime: firstTime, BodyTime: firstTime, IdleTime: time.Minute, StallTime: 5 * time.Second, StreamIdle: streamQuiet,
+		BodyMemory: config.Size(b.Bodies)}
+}
--- /dev/null
+++ b/internal/node/discovery/discovery.go
@@ -0,0 +1,211 @@
+// Package discovery follows the platform's list of engines: the whole list once, then a long watch for what changes.
+// It knows nothing of health and keeps nothing by name; the loop does.
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"brackenbend/choice"
+	"brackenbend/internal/http1"
+	"brackenbend/internal/register"
+)
+
+// List is discovery's answer.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Member is one engine.
+type Member struct {
+	ID       string  `json:"id"`
+	HostPort string  `json:"host_port"`
+	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
+	Cell     int64   `json:"cell"`
+	Phase    string  `json:"phase"`
+	Size     float64 `json:"size"`
+	UpSince  int64   `json:"up_since_ms"` // Unix time; 0 = long ago
+}
+
+var states = map[string]choice.State{"Ready": choice.Ready, "Terminating": choice.Draining, "Gone": choice.Gone}
+
+const (
+	membersMost = 20000
+	textMost    = 512 // of one name
+)
+
+// Update is the list in the register's terms. An entry that can't be understood makes the whole list unreadable:
+// taking the rest would tell that its engine is gone.
+func (l *List) Update() (register.Update, error) {
+	u := register.Update{Scope: choice.Changes}
+	if l.Complete {
+		u.Scope = choice.Full
+	}
+	if len(l.Members) > membersMost {
+		return u, fmt.Errorf("discovery: %d members, %d at most", len(l.Members), membersMost)
+	}
+	u.Engines = make([]register.Engine, 0, len(l.Members))
+	for i, m := range l.Members {
+		state, known := states[m.Phase]
+		switch _, _, err := net.SplitHostPort(m.HostPort); {
+		case m.ID == "" || len(m.ID)+len(m.HostPort)+len(m.Locality)+len(m.Flavor) > textMost:
+			return u, fmt.Errorf("discovery: members[%d]: no id, or names of over %d bytes", i, textMost)
+		case !known:
+			return u, fmt.Errorf("discovery: members[%d] (%s): unknown phase %q", i, m.ID, m.Phase)
+		case err != nil && state != choice.Gone:
+			return u, fmt.Errorf("discovery: members[%d] (%s): host_port: %w", i, m.ID, err)
+		case m.UpSince < 0:
+			return u, fmt.Errorf("discovery: members[%d] (%s): negative up_since_ms", i, m.ID)
+		}
+		e := register.Engine{Name: m.ID, Address: m.HostPort, Kind: m.Flavor, Zone: m.Locality, Cell: strconv.FormatInt(m.Cell, 10), State: state}
+		if m.UpSince > 0 {
+			e.Started = time.UnixMilli(m.UpSince)
+		}
+		u.Engines = append(u.Engines, e)
+	}
+	return u, nil
+}
+
+// Parse reads a list. What is missing of revision, complete and members is no list.
+func Parse(text []byte) (*List, error) {
+	var l struct {
+		Revision *int64    `json:"revision"`
+		Complete *bool     `json:"complete"`
+		Members  *[]Member `json:"members"`
+	}
+	if err := json.Unmarshal(text, &l); err != nil {
+		return nil, fmt.Errorf("discovery: %w", err)
+	}
+	if l.Revision == nil || l.Complete == nil || l.Members == nil {
+		return nil, errors.New("discovery: a list needs revision, complete and members")
+	}
+	return &List{*l.Revision, *l.Complete, *l.Members}, nil
+}
+
+// Watcher follows discovery. Its exported fields are set before Run.
+type Watcher struct {
+	Deliver func(register.Update) // called from Run's goroutine only
+	Log     func(msg string, err error)
+	Hold    time.Duration // how long a watch may wait
+	Answer  time.Duration // for an answer, beyond that
+	Pause   time.Duration // after a failed call
+	Most    int64         // bytes of an answer
+
+	mu      sync.Mutex
+	address string
+	stop    context.CancelFunc // ends the present call
+
+}
+
+// Move makes address the one to ask, from now on.
+func (w *Watcher) Move(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if address == w.address {
+		return
+	}
+	w.address = address
+	if w.stop != nil {
+		w.stop()
+	}
+}
+
+// at is the present address, with a context that a move ends.
+func (w *Watcher) at(ctx context.Context) (context.Context, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.stop = context.WithCancel(ctx)
+	return ctx, w.address
+}
+
+// Run follows discovery until ctx ends. Every new connection begins with the whole list: changes may have been lost.
+func (w *Watcher) Run(ctx context.Context) {
+	failed := false
+	for ctx.Err() == nil {
+		here, address := w.at(ctx)
+		err := w.follow(here, address, func() { failed = false })
+		w.stop()
+		if ctx.Err() != nil {
+			return
+		}
+		if here.Err() != nil && err != nil { // moved: at once
+			continue
+		}
+		if !failed { // once for each outage
+			w.Log("discovery does not answer; the list stays", err)
+		}
+		failed = true
+		select {
+		case <-ctx.Done():
+		case <-time.After(w.Pause):
+		}
+	}
+}
+
+// follow asks at one address over one connection until that fails.
+func (w *Watcher) follow(ctx context.Context, address string, well func()) error {
+	d := net.Dialer{Timeout: w.Answer}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	defer context.AfterFunc(ctx, func() { nc.Close() })()
+	br := bufio.NewReaderSize(nc, 4096)
+	target, wait := "/v1/servers", w.Answer
+	for {
+		text, again, err := w.ask(nc, br, address, target, wait)
+		if err != nil {
+			return err
+		}
+		l, err := Parse(text)
+		if err != nil {
+			return err
+		}
+		u, err := l.Update()
+		if err != nil {
+			return err
+		}
+		if l.Complete || len(l.Members) > 0 {
+			w.Deliver(u)
+		}
+		well()
+		if !again {
+			return errors.New("discovery: it closed the connection")
+		}
+		target = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", l.Revision, w.Hold.Milliseconds())
+		wait = w.Hold + w.Answer
+	}
+}
+
+// ask makes one call; again tells that the connection may be used for another.
+func (w *Watcher) ask(nc net.Conn, br *bufio.Reader, address, target string, wait time.Duration) (text []byte, again bool, err error) {
+	if err := nc.SetDeadline(time.Now().Add(wait)); err != nil {
+		return nil, false, err
+	}
+	if _, err := nc.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\nAccept: application/json\r\n\r\n")); err != nil {
+		return nil, false, err
+	}
+	lim := http1.Limits{Head: 16 << 10, Fields: 100}
+	resp, err := http1.ReadResponse(br, lim)
+	if err != nil {
+		return nil, false, err
+	}
+	if resp.Status != 200 {
+		return nil, false, fmt.Errorf("discovery: answered %d", resp.Status)
+	}
+	var body http1.Body
+	body.Reset(br, &resp.Message, lim)
+	text, err = http1.ReadAll(&body, w.Most)
+	return text, !resp.Close, err
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,152 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"brackenbend/choice"
+	"brackenbend/internal/engine"
+	"brackenbend/internal/front"
+	"brackenbend/internal/heap"
+	"brackenbend/internal/http1"
+	"brackenbend/internal/node/dialect"
+	"brackenbend/internal/node/discovery"
+	"brackenbend/internal/obs"
+	"brackenbend/internal/register"
+)
+
+// Node is a running front node.
+type Node struct {
+	front  *front.Front
+	watch  *discovery.Watcher
+	log    *zap.Logger
+	file   string
+	env    func(string) string
+	addr   string
+	failed chan error
+	stop   func()
+	once   sync.Once
+}
+
+// Start starts a front node by the configuration in file. It serves from the known list until discovery answers.
+func Start(file string, env func(string) string, log *zap.Logger) (*Node, error) {
+	c, err := Load(file, env)
+	if err != nil {
+		return nil, err
+	}
+	log = log.With(zap.String("node", c.Name))
+	b := c.Split()
+	undo := b.apply()
+	calm := func() {}
+	if os.Getenv("GOGC") == "" { // whoever sets it means it
+		calm = heap.Floor(b.Floor)
+	}
+	n := &Node{log: log, file: file, env: env, failed: make(chan error, 1)}
+	clients := &dialect.Clients{Classes: c.Site.Choice.Classes, Tenants: c.Site.Tenants, NotReady: func() string { return n.front.NotReady() }}
+	if n.front, err = front.Make(options(c, b, clients), log, obs.NewMetrics()); err != nil {
+		return nil, err
+	}
+	if c.Known != nil {
+		if u, err := c.Known.Update(); err != nil {
+			log.Warn("the known list can't be used", zap.Error(err))
+		} else if len(u.Engines) > 0 {
+			u.Scope = choice.Cached
+			n.front.Deliver(u)
+		}
+	}
+	l, err := net.Listen("tcp", c.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	n.addr = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	watched := make(chan struct{})
+	n.watch = &discovery.Watcher{Deliver: func(u register.Update) { n.front.Deliver(u) }, Hold: watchHold, Answer: watchAnswer, Pause: watchPause, Most: listMost,
+		Log: func(msg string, err error) { log.Warn(msg, zap.Error(err)) }}
+	n.watch.Move(c.Discovery)
+	go func() {
+		defer close(watched)
+		n.watch.Run(ctx)
+	}()
+	go func() {
+		if err := n.front.Serve(l); err != nil {
+			n.failed <- err
+		}
+	}()
+	n.stop = func() {
+		ctx, done := context.WithTimeout(context.Background(), c.drain())
+		defer done()
+		n.front.Shutdown(ctx)
+		cancel()
+		<-watched
+		calm()
+		undo()
+	}
+	log.Info("serving", zap.String("listen", n.addr), zap.String("discovery", c.Discovery), zap.Any("budget", b))
+	return n, nil
+}
+
+// Discovery's calls: a watch that waits for long is told at the latest as the platform counts, and a silent one is
+// noticed soon after.
+const (
+	watchHold   = 10 * time.Second
+	watchAnswer = 1500 * time.Millisecond
+	watchPause  = 100 * time.Millisecond
+	listMost    = 8 << 20
+)
+
+func options(c *Config, b Budget, way front.Way) front.Options {
+	site := c.Site
+	idle := site.ConnIdle
+	if idle <= 0 {
+		idle = idleTime
+	}
+	dial := site.Dial
+	if dial <= 0 {
+		dial = dialTime
+	}
+	return front.Options{Choice: site.Choice, Kinds: site.Kinds, Tenants: site.Tenants, Seed: c.Seed, Way: way, Limits: b.limits(), Margin: margin,
+		FirstTime: firstTime, IdleLeast: idleLeast, Linger: linger, CutBroken: true, OneByOne: true, Waits: site.RetryAfter, Fractions: true,
+		Engines: &engine.Client{Dialect: dialect.Engines{}, Load: dialect.FieldLoad, ByRequest: true, ToLastChunk: true, WholeSent: true,
+			DialTime: dial, HeadTime: headTime, Stream: bodyMost, Connections: b.PerEngine, Total: b.Engines, Idle: b.PerEngine,
+			IdleTime: idle * 2 / 3, StreamIdle: streamQuiet, Event: 64 << 10, Reply: bodyMost, Limits: http1.Limits{Head: 16 << 10, Fields: 100}}}
+}
+
+// drain is how long what is open at SIGTERM may take: the platform waits for the longest deadline, and a little more.
+func (c *Config) drain() time.Duration {
+	longest := 3 * time.Second
+	for _, k := range c.Site.Choice.Classes {
+		longest = max(longest, k.Deadline)
+	}
+	return longest + 500*time.Millisecond
+}
+
+// Failed tells why the front node can't go on.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// Addr is where it listens.
+func (n *Node) Addr() string { return n.addr }
+
+// Reload reads the configuration anew. Discovery moves; all else needs a restart, and a bad file changes nothing.
+func (n *Node) Reload() {
+	c, err := Load(n.file, n.env)
+	if err != nil {
+		n.log.Error("configuration not taken", zap.Error(err))
+		return
+	}
+	n.watch.Move(c.Discovery)
+	n.log.Info("configuration taken", zap.String("discovery", c.Discovery))
+}
+
+// Stop answers what is open and ends.
+func (n *Node) Stop() {
+	n.once.Do(n.stop)
+	n.log.Info("ended")
+	_ = n.log.Sync()
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -16,12 +16,15 @@
 }
 
 type boot struct {
-	Balancers  int
-	Zone       int
-	Discovery  string
-	Kinds      []string
-	Classes    []bootClass
-	Tenants    []struct{ QuotaPerS, Share float64 }
+	Balancers int
+	Zone      int
+	Discovery string
+	Kinds     []string
+	Classes   []bootClass
+	Tenants   []struct {
+		Name             string
+		QuotaPerS, Share float64
+	}
 	FamilyInfo struct {
 		Ahead, LocalRead, Resume           bool
 		AimUsPer1000PromptTokens, TokenAim []float64
@@ -30,9 +33,10 @@
 		Release                            float64
 	}
 	Caps struct {
-		AttemptsCap          int
-		Cancel, SecondCopies bool
-		MaxRetryAfter        float64
+		AttemptsCap, MaxOpen             int
+		Cancel, SecondCopies, RetryAfter bool
+		MaxRetryAfter                    float64
+		ConnIdle, DialTimeout            float64
 	}
 	Invariants struct {
 		AskWithin, Cold, ColdFrom, GraceToAnswer, OverloadFactor, StopSendingWithin, TipAfter float64
@@ -49,13 +53,37 @@
 		"cell": choice.GroupCell}
 )
 
-// ParseSettings maps the settings text to the module's terms. Unknown keys are skipped; absent ones are zero, which
-// choice.Settings documents.
+// Site is all of the settings that the program uses: what the module is told, and what a front node needs beside it.
+type Site struct {
+	Choice         choice.Settings
+	Kinds, Tenants []string
+	ConnIdle, Dial time.Duration // an idle connection's life, and the wait for one to come up
+	MaxOpen        int
+	RetryAfter     bool // clients are told when to come back
+}
+
+// ParseSettings maps the settings text to the module's terms.
 func ParseSettings(text []byte) (choice.Settings, error) {
+	s, err := ParseSite(text)
+	return s.Choice, err
+}
+
+// ParseSite reads the settings text. Unknown keys are skipped; absent ones are zero, which choice.Settings documents.
+func ParseSite(text []byte) (Site, error) {
 	var b boot
 	if err := json.Unmarshal(text, &b); err != nil {
-		return choice.Settings{}, fmt.Errorf("settings: %w", err)
+		return Site{}, fmt.Errorf("settings: %w", err)
 	}
+	s, err := b.choice()
+	site := Site{Choice: s, Kinds: b.Kinds, ConnIdle: micro(b.Caps.ConnIdle), Dial: micro(b.Caps.DialTimeout), MaxOpen: b.Caps.MaxOpen,
+		RetryAfter: b.Caps.RetryAfter}
+	for _, t := range b.Tenants {
+		site.Tenants = append(site.Tenants, t.Name)
+	}
+	return site, err
+}
+
+func (b *boot) choice() (choice.Settings, error) {
 	f, inv := b.FamilyInfo, b.Invariants
 	s := choice.Settings{
 		Fronts: b.Balancers, Zone: b.Zone, OverShareWorth: b.OverShareWorth, WorthByWork: b.WorthBy == "work",
@@ -74,7 +102,7 @@
 	return s, addClasses(&s, b)
 }
 
-func addKinds(s *choice.Settings, b boot) error {
+func addKinds(s *choice.Settings, b *boot) error {
 	for i := range max(len(b.Kinds), len(b.FamilyInfo.KindRole)) {
 		k := choice.Kind{Role: choice.Mixed}
 		if i < len(b.FamilyInfo.KindRole) {
@@ -90,7 +118,7 @@
 	return nil
 }
 
-func addClasses(s *choice.Settings, b boot) error {
+func addClasses(s *choice.Settings, b *boot) error {
 	for i, c := range b.Classes {
 		effect, ok := effects[c.Repeat]
 		if !ok {
