Engines: no kept connection is used again once one broke under its next request

Unsafe work so sent fails, and each reset counts against the engine's health: servers that were well were put aside one after another.

Now the pool notes such a break and uses no kept connection for as long as connections are kept, at any engine: what ends them early stands between. A new one costs a handshake of 1 to 3 ms.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -57,6 +57,7 @@
 	all     atomic.Int64         // connections open or being opened
 	mu      sync.Mutex           // taken before a server's
 	resting map[*Server]struct{} // servers that may have idle connections
+	broke   atomic.Int64         // when a kept connection broke under its next request, as Unix time in nanoseconds; 0 = never
 }
 
 // Call is one attempt's request.
@@ -211,12 +212,21 @@
 		return fail(k, a.ended(err))
 	}
 	resp, err := c.head(k, call.Deadline)
+	if k.reused && err != nil && k.br.Buffered() == 0 && broken(err) && !a.cancelled() {
+		c.distrust()
+	}
 	if err != nil {
 		return fail(k, a.ended(err))
 	}
 	return k, resp, nil
 }
 
+// broken tells that a connection ended, and was neither too slow nor understood wrongly.
+func broken(err error) bool {
+	var proto *http1.Error
+	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.As(err, &proto) && !errors.Is(err, io.ErrUnexpectedEOF)
+}
+
 // head reads the head of the answer, passing over interim ones. Each may be waited for until deadline, but must be
 // whole soon after its first byte.
 func (c *Client) head(k *conn, deadline time.Time) (*http1.Response, error) {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -341,3 +341,38 @@
 		}
 	})
 }
+
+// A kept connection that breaks under its next request is the last that is used again, for as long as such are kept;
+// what breaks on a new connection says nothing about those.
+func TestNoKeptConnectionIsTrustedOnceOneBroke(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `{"kv_transfer_params":{"a":1}}`
+	s := peer(t, func(i int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for n := 0; request(c, br); n++ {
+			if n == 1 || i == 0 { // not seen before: the peer waits for the request
+				reset(c)
+				return
+			}
+			io.WriteString(c, answer)
+		}
+	})
+	c := testClient()
+	read := func() choice.Result {
+		return c.Read(&Attempt{}, s, Call{Path: "/v1/x", ID: "a", Deadline: time.Now().Add(10 * time.Second)}).Result
+	}
+	if got := read(); got != choice.Reset || c.distrusts() {
+		t.Errorf("a new connection: %v, distrusts %v", got, c.distrusts())
+	}
+	for i, want := range []choice.Result{choice.ReadDone, choice.Reset, choice.ReadDone, choice.ReadDone, choice.ReadDone} {
+		if got := read(); got != want {
+			t.Errorf("request %d: %v, want %v", i, got, want)
+		}
+	}
+	if s.Connections() != 0 {
+		t.Errorf("%d connections are kept", s.Connections())
+	}
+	c.broke.Add(-int64(c.IdleTime)) // they are past their time
+	if got := read(); got != choice.ReadDone || s.Connections() != 1 {
+		t.Errorf("later: %v, %d connections kept", got, s.Connections())
+	}
+}
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -86,6 +86,7 @@
 // take gets a connection: an idle one that is alive, unless fresh is asked for, else a new one until deadline
 // (zero = none). a, where given, can call the dial off.
 func (c *Client) take(a *Attempt, s *Server, fresh bool, deadline time.Time) (*conn, error) {
+	fresh = fresh || c.distrusts()
 	s.mu.Lock()
 	s.all = &c.all
 	for !fresh && len(s.idle) > 0 {
@@ -148,6 +149,19 @@
 	return true
 }
 
+// distrust notes that a kept connection broke under its next request although nothing had shown that it would:
+// engines, or what stands before them, end connections sooner than was told. Another request sent on such a one may
+// be lost, and for unsafe work nobody may try it again; a new connection costs a handshake. So none is used again
+// until all that are kept now are past their time.
+func (c *Client) distrust() {
+	c.broke.Store(time.Now().UnixNano())
+}
+
+func (c *Client) distrusts() bool {
+	at := c.broke.Load()
+	return at != 0 && time.Now().UnixNano()-at < int64(c.IdleTime)
+}
+
 // Sweep closes connections that have been idle for IdleTime, so that engines need not.
 func (c *Client) Sweep() {
 	c.mu.Lock()
@@ -175,7 +189,7 @@
 // give returns a connection after use; only one whose last message ended cleanly is kept.
 func (c *Client) give(s *Server, k *conn, clean bool) {
 	s.mu.Lock()
-	if !clean || !s.IsOpen() || len(s.idle) >= c.Idle || k.br.Buffered() > 0 || k.SetDeadline(time.Time{}) != nil {
+	if !clean || !s.IsOpen() || c.distrusts() || len(s.idle) >= c.Idle || k.br.Buffered() > 0 || k.SetDeadline(time.Time{}) != nil {
 		s.closed1(k)
 		s.mu.Unlock()
 		return
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -175,7 +175,7 @@
 	}
 	if a.write {
 		call.Body = a.fl.prompt.WriteBody(a.kv, a.fl.whole != nil)
-		call.Once = a.fl.class.Effect == choice.Unsafe && !l.client.WholeSent
+		call.Once = a.fl.class.Effect == choice.Unsafe
 		return l.client.Write(&a.handle, a.srv, call, a)
 	}
 	call.Body = a.fl.prompt.ReadBody()
