--- a/choice/choice.go
+++ b/choice/choice.go
@@ -255,7 +255,7 @@
 		r.readDone(q, a, ev)
 	case Served:
 		s.count++
-	case Errored:
+	case Errored, Reset: // one connection may break under a server that is well; a crash breaks all and refuses new ones
 		r.learn(s, q, true, failGain, false)
 	case TimedOut:
 		s.slow += slowGain * (patience - s.slow)
@@ -263,7 +263,7 @@
 		if a.write {
 			r.firstTime += 0.02 * (ev.Elapsed.Seconds() - r.firstTime)
 		}
-	case ConnectFailed, Reset:
+	case ConnectFailed:
 		r.learn(s, q, true, 2*failGain, false)
 	case Turned:
 		if !ev.NoState {
