Front node: what is open shortly before SIGKILL gets its final answer from the module

Now a front that must end tells the module (choice.Ending), which refuses or fails what has not begun by its own rules; streams are cut last, 150 ms before SIGKILL may come. node.Config.drain has the platform's figures. A read that was out at the end is now refused, where the front itself used to fail it without asking the module.

Tried and taken back: to go on serving kept connections until 1.3 s before SIGKILL.

--- a/choice/api.go
+++ b/choice/api.go
@@ -218,6 +218,8 @@
 	}
 	// ClientGone tells that the client left; no answer is owed.
 	ClientGone struct{ Request RequestID }
+	// Ending tells that this front ends now: what has no answer yet gets its final one.
+	Ending struct{}
 	// Timer is a wake-up that a Wake action asked for.
 	Timer struct{ Tag uint64 }
 	// Held answers an Ahead.
@@ -233,6 +235,7 @@
 func (First) event()      {}
 func (Outcome) event()    {}
 func (ClientGone) event() {}
+func (Ending) event()     {}
 func (Timer) event()      {}
 func (Held) event()       {}
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -143,6 +144,12 @@
 		r.first(ev)
 	case Outcome:
 		r.outcome(ev)
+	case Ending:
+		for _, id := range slices.Sorted(maps.Keys(r.reqs)) {
+			if q := r.reqs[id]; !q.ended && !q.started {
+				r.finish(q, r.no(q, 0))
+			}
+		}
 	case ClientGone:
 		if q := r.reqs[ev.Request]; q != nil && !q.ended {
 			r.finish(q, nil)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -113,7 +113,7 @@
 	}
 	c.idle.Store(false)
 	c.idleSince.Store(0)
-	if c.f.draining.Load() && c.nc.SetReadDeadline(time.Now().Add(c.f.lastLook)) == nil {
+	if c.f.draining.Load() && c.nc.SetReadDeadline(c.f.look()) == nil {
 		_, err = c.br.Peek(1)
 	}
 	if err != nil {
@@ -210,7 +210,7 @@
 
 // simple answers without a flight. A body that was not read ends the connection.
 func (c *client) simple(req *http1.Request, body *http1.Body, a Answer) bool {
-	keep := !req.Close && body.Done() && !c.f.draining.Load()
+	keep := !req.Close && body.Done() && !c.f.parting()
 	if c.send(a, keep) != nil {
 		return false
 	}
@@ -229,7 +229,7 @@
 
 func (c *client) completion(req *http1.Request, body *http1.Body) bool {
 	f := c.f
-	if f.draining.Load() && f.Linger == 0 {
+	if f.parting() && f.Linger == 0 {
 		return c.turn(req, body, "draining", "this front is going down; nothing was done")
 	}
 	if f.open.Add(1) > int64(f.Limits.Open) {
@@ -306,7 +306,7 @@
 	}
 	now := time.Now()
 	fl := &flight{id: choice.RequestID(n), name: t.ID, ask: t.Event, prompt: t.Prompt, path: t.Path, key: t.Key, class: &f.classes[t.Event.Class],
-		to: c, chunks: req.Minor == 1, taken: now, keep: !req.Close && req.Minor == 1 && !f.draining.Load(), done: make(chan struct{}), whole: t.Whole}
+		to: c, chunks: req.Minor == 1, taken: now, keep: !req.Close && req.Minor == 1 && !f.parting(), done: make(chan struct{}), whole: t.Whole}
 	wait := t.Wait
 	if bend := f.seam.Wait; bend != nil {
 		wait = bend(wait)
@@ -361,9 +361,9 @@
 		return false
 	}
 	if fl.answer.Status == 0 { // it was a stream
-		return fl.keep && !c.flooded && fl.result != "gone" && (fl.result != "broken" || !f.CutBroken) && !f.draining.Load()
+		return fl.keep && !c.flooded && fl.result != "gone" && (fl.result != "broken" || !f.CutBroken)
 	}
-	keep := fl.keep && !c.flooded && !f.draining.Load()
+	keep := fl.keep && !c.flooded && !f.parting()
 	fl.answer.id = fl.title()
 	return c.send(fl.answer, keep) == nil && keep
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -69,8 +69,8 @@
 	FirstTime time.Duration
 	// IdleLeast is how long an idle connection stays at least when connections are short; 0 = none is closed for that.
 	IdleLeast time.Duration
-	// Linger is how long a front that ends still takes in new connections and requests; 0 = it refuses them, and waits
-	// lastLook for those that are on their way.
+	// Linger is how long a front that ends still takes in new connections and requests as before; 0 = it refuses them, and
+	// waits lastLook for those that are on their way.
 	Linger time.Duration
 	// CutBroken: a stream that broke ends with its connection, else with an error event.
 	CutBroken bool
@@ -102,6 +102,7 @@
 	names    map[string]struct{} // ids of open requests, where clients give them
 	draining atomic.Bool
 	lastLook time.Duration // set before it drains
+	leaves   atomic.Int64  // when it takes in no more, as Unix time in nanoseconds; set before it drains
 	listener net.Listener
 	wait     sync.WaitGroup
 }
@@ -145,7 +146,7 @@
 	}
 	f := &Front{Options: o, seam: seam, classes: o.Choice.Classes, kinds: o.Choice.Kinds, log: log, m: m, conns: map[*client]struct{}{},
 		limits: http1.Limits{Head: int(o.Limits.Head), Fields: o.Limits.Fields}, names: map[string]struct{}{},
-		run: fmt.Sprintf("%x", random[8:]), lastLook: max(lastLook, o.Linger)}
+		run: fmt.Sprintf("%x", random[8:]), lastLook: lastLook}
 	o.Engines.Report = o.Choice.ReportFields
 	f.loop = newLoop(f, router, o.Engines)
 	return f, nil
@@ -212,6 +213,20 @@
 // connection that was idle: closing in its face would leave it without an answer.
 const lastLook = 50 * time.Millisecond
 
+// look is how long a draining front waits for what may still come: until it leaves, and at least for the last look.
+func (f *Front) look() time.Time {
+	at := time.Now().Add(f.lastLook)
+	if leaves := time.Unix(0, f.leaves.Load()); leaves.After(at) {
+		return leaves
+	}
+	return at
+}
+
+// parting tells that answers end their connections.
+func (f *Front) parting() bool {
+	return f.draining.Load() && time.Now().UnixNano() >= f.leaves.Load()
+}
+
 func (f *Front) accept(nc net.Conn) {
 	f.mu.Lock()
 	if len(f.conns) >= f.Limits.Connections && !f.makeRoom() {
@@ -263,10 +278,11 @@
 // Shutdown stops accepting, lets what is held be answered until ctx ends, then fails the rest, which promises
 // nothing about effects. It returns when no connection and no attempt is left.
 func (f *Front) Shutdown(ctx context.Context) {
+	f.leaves.Store(time.Now().Add(f.Linger).UnixNano())
 	f.mu.Lock()
 	f.draining.Store(true)
 	if t, ok := f.listener.(*net.TCPListener); ok { // those in the backlog are taken in and told
-		_ = t.SetDeadline(time.Now().Add(f.lastLook))
+		_ = t.SetDeadline(f.look())
 	} else if f.listener != nil {
 		f.listener.Close()
 	}
@@ -279,6 +295,7 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		f.loop.giveUp()
 		f.mu.Lock()
 		for c := range f.conns {
 			c.cutShort()
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -21,7 +21,8 @@
 	fl   *flight // with a Request
 	kv   []byte  // with the Outcome of a read
 	list *register.Update
-	stop bool // end the loop once no flight is left
+	stop bool          // end the loop once no flight is left
+	done chan struct{} // closed once the module has had its say
 }
 
 // loop is the one goroutine that owns the Router. Nothing in it waits: connections and attempts run in
@@ -103,6 +104,13 @@
 	l.post(item{fl: fl, ev: ev})
 }
 
+// giveUp has the module answer what has no answer yet.
+func (l *loop) giveUp() {
+	done := make(chan struct{})
+	l.post(item{ev: choice.Ending{}, done: done})
+	<-done
+}
+
 // close calls off what is still out, and ends the loop once no flight is left and every state is let go.
 func (l *loop) close() {
 	l.post(item{stop: true})
@@ -149,6 +157,11 @@
 		if l.sweep {
 			l.forget()
 		}
+		for i := range batch {
+			if batch[i].done != nil {
+				close(batch[i].done)
+			}
+		}
 		l.f.m.Step.Observe(time.Since(began).Seconds())
 		l.f.m.Queue.Observe(float64(len(batch)))
 		clear(batch)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,8 @@
 		}
 	}()
 	n.stop = func() {
-		ctx, done := context.WithTimeout(context.Background(), c.drain())
+		_, cut := c.drain()
+		ctx, done := context.WithTimeout(context.Background(), cut)
 		defer done()
 		n.front.Shutdown(ctx)
 		cancel()
@@ -111,6 +112,7 @@
 	if dial <= 0 {
 		dial = dialTime
 	}
+	linger, _ := c.drain()
 	return front.Options{Choice: site.Choice, Kinds: site.Kinds, Tenants: site.Tenants, Seed: c.Seed, Way: way, Limits: b.limits(), Margin: margin,
 		FirstTime: firstTime, IdleLeast: idleLeast, Linger: linger, CutBroken: true, OneByOne: true, Waits: site.RetryAfter, Fractions: true,
 		Engines: &engine.Client{Dialect: dialect.Engines{}, Load: dialect.FieldLoad, ByRequest: true, ToLastChunk: true, WholeSent: true,
@@ -118,13 +120,15 @@
 			IdleTime: idle * 2 / 3, StreamIdle: streamQuiet, Event: 64 << 10, Reply: bodyMost, Limits: http1.Limits{Head: 16 << 10, Fields: 100}}}
 }
 
-// drain is how long what is open at SIGTERM may take: the platform waits for the longest deadline, and a little more.
-func (c *Config) drain() time.Duration {
-	longest := 3 * time.Second
+// drain is how long after SIGTERM requests are still taken in, and when what is open is cut short: in time for the
+// platform's SIGKILL. To take in more for longer was measured (docs/node.md): their streams are cut at the end.
+func (c *Config) drain() (linger, cut time.Duration) {
+	longest := time.Duration(0)
 	for _, k := range c.Site.Choice.Classes {
 		longest = max(longest, k.Deadline)
 	}
-	return longest + 500*time.Millisecond
+	kill := min(longest, killMost) + killAfter
+	return min(lingerMost, kill/2), kill - cutBefore
 }
 
 // Failed tells why the front node can't go on.
