--- a/choice/choice.go
+++ b/choice/choice.go
@@ -275,6 +275,7 @@
 	case Turned:
 		if !ev.NoState {
 			s.full, r.turnedAt = r.now+fullPause, r.now
+			r.turned(s, q, true)
 		}
 	}
 	mayHaveRun := slices.Contains([]Result{Errored, TimedOut, Reset, Cancelled}, ev.Result)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -430,3 +430,38 @@
 		t.Fatalf("%d sends when half warm, %d when just started", late, early)
 	}
 }
+
+// A writer that turns one class away is asked last for that class, and as before for others.
+func TestAClassTurnedAwayIsAskedLast(t *testing.T) {
+	set := testSettings()
+	set.Classes[1].Effect = Safe
+	g := newRig(t, set, reader(1), writer(2), writer(3))
+	id := RequestID(0)
+	write := func(class int) Send { // the first writer asked; every writer but 2 serves, 2 turns class 0 away
+		id++
+		read := one[Send](t, g.after(300*ms, g.request(id, class, 1000)))
+		acts := g.after(ms, Outcome{Request: id, Server: read.Server, Result: ReadDone, Elapsed: ms})
+		first := one[Send](t, acts)
+		for s, n := first, 1; ; n++ {
+			if s.Server != 2 || class != 0 {
+				g.after(ms, First{Request: id, Attempt: n, Server: s.Server, Elapsed: ms})
+				g.after(ms, Outcome{Request: id, Attempt: n, Server: s.Server, Result: Served, Elapsed: ms})
+				return first
+			}
+			s = one[Send](t, g.after(ms, Outcome{Request: id, Attempt: n, Server: 2, Result: Turned, Elapsed: ms}))
+		}
+	}
+	asked := func(class, n int) (of2 int) {
+		for range n {
+			of2 += int(b2f(write(class).Server == 2))
+		}
+		return of2
+	}
+	asked(0, 12) // it learns
+	if n := asked(0, 10); n > 0 {
+		t.Errorf("the writer that turns the class away was asked first %d times of 10", n)
+	}
+	if n := asked(1, 20); n == 0 {
+		t.Error("another class does not go there any more")
+	}
+}
--- a/choice/health.go
+++ b/choice/health.go
@@ -36,7 +36,7 @@
 		return
 	case s == nil:
 		s = &server{Server: e, kept: map[uint64]float64{}, seen: r.now, learnt: r.now, pace1: r.readPace}
-		s.fails = make([]float64, len(r.set.Classes))
+		s.fails, s.turns = make([]float64, len(r.set.Classes)), make([]float64, len(r.set.Classes))
 		r.byID[e.ID] = s
 		r.servers = append(r.servers, s)
 	}
@@ -44,6 +44,7 @@
 		s.kept = map[uint64]float64{}
 		s.bad, s.fail, s.count, s.slow, s.pause, s.seen, s.learnt = false, 0, 0, 0, 0, r.now, r.now
 		clear(s.fails)
+		clear(s.turns)
 	}
 	s.Server, s.role, s.listed, s.goneAt = e, r.set.Kinds[e.Kind].Role, e.State == Ready, 0
 }
@@ -113,6 +114,7 @@
 // server may fail one class only. A failed or broken connection speaks for all, and louder: the process is
 // likely gone. News after a long silence weighs more: a front of many sees a server twice a minute.
 func (r *Router) learn(s *server, q *request, failed bool, gain float64, usual bool) {
+	r.turned(s, q, false)
 	gone := gain > failGain
 	gain = max(gain, 1-math.Exp(-(r.now-s.learnt).Seconds()/sparse.Seconds()))
 	s.learnt = r.now
@@ -140,9 +142,19 @@
 	}
 }
 
-// shunned tells that s has failed the class of q, or that its first tokens are slow: it is asked last.
+// turned books whether s turned an attempt of q away. It guards against servers that turn away one class only, for
+// which a pause for all is too short and too wide: each request of that class would be turned away by one after
+// another until none is left to ask. Where all are full, all are alike and nobody is asked last.
+func (r *Router) turned(s *server, q *request, away bool) {
+	was := s.turns[q.Class] > failBad
+	if s.turns[q.Class] += failGain * (b2f(away) - s.turns[q.Class]); was != (s.turns[q.Class] > failBad) {
+		r.reshape()
+	}
+}
+
+// shunned tells that s has failed or turned away the class of q, or that its first tokens are slow: it is asked last.
 func (s *server) shunned(q *request) bool {
-	return !s.bad && (s.fails[q.Class] > failBad || s.role == Writer && s.slow > slowWriter)
+	return !s.bad && (s.fails[q.Class] > failBad || s.turns[q.Class] > failBad || s.role == Writer && s.slow > slowWriter)
 }
 
 // paced learns how long a waiting prompt token takes at s, and over all readers.
--- a/choice/state.go
+++ b/choice/state.go
@@ -106,6 +106,7 @@
 
 	fail   float64       // share of late outcomes that failed, of the class that failed least
 	fails  []float64     // the same, by class; fades
+	turns  []float64     // share of each class's late attempts that it turned away; fades
 	learnt time.Duration // last outcome
 	count  float64       // pieces finished; fades
 	seen   time.Duration
@@ -312,9 +313,11 @@
 	s.seen = r.now
 	fade(&s.count, dt, memory)
 	fade(&s.slow, dt, failsFor)
-	for i, was := range s.fails {
-		if fade(&s.fails[i], dt, failsFor); was > failBad && s.fails[i] <= failBad {
-			r.reshape()
+	for _, shares := range [2][]float64{s.fails, s.turns} {
+		for i, was := range shares {
+			if fade(&shares[i], dt, failsFor); was > failBad && shares[i] <= failBad {
+				r.reshape()
+			}
 		}
 	}
 	fade(&s.homed, dt, homedFor)
