--- a/choice/api.go
+++ b/choice/api.go
@@ -212,7 +212,7 @@
 		Elapsed time.Duration
 		Over    bool // the request is over, no answer is owed
 		Result  Result
-		NoState bool      // with Turned: there was no read state to fetch
+		NoState bool      // there was no read state to fetch, or it went with an answer that came to nothing
 		Kept    float64   // with ReadDone and Served: prompt tokens found kept
 		Report  []float64 // not used
 	}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -286,7 +286,9 @@
 
 // again decides after a failed attempt: another, or the final answer at once.
 func (r *Router) again(q *request, a *attempt, ev Outcome) {
-	waits := a.write && q.reader != nil && !ev.NoState
+	// Without its state a request is read anew, where attempts are left for that and the writing.
+	last := r.set.WritersRead && len(q.att)+2 > r.set.MaxAttempts
+	waits := a.write && q.reader != nil && (!ev.NoState || last)
 	switch {
 	case r.now >= q.Due || len(q.att) >= r.set.MaxAttempts || r.jammed(q), q.ran && q.class.Effect == Unsafe,
 		q.ran && q.class.Effect == Keyed && !waits:
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -465,3 +465,32 @@
 		t.Error("another class does not go there any more")
 	}
 }
+
+// A state that went with a spoilt answer is read anew, unless too few attempts are left for reading and writing.
+func TestStateGoneWithASpoiltAnswerIsReadAnew(t *testing.T) {
+	set := testSettings()
+	set.WritersRead = true
+	g := newRig(t, set, reader(1), writer(2), writer(3))
+	done := func(n int) []Action {
+		return g.after(ms, Outcome{Request: 1, Attempt: n, Server: 1, Result: ReadDone, Elapsed: ms})
+	}
+	spoilt := func(n int, s ServerID) []Action {
+		return g.after(ms, Outcome{Request: 1, Attempt: n, Server: s, Result: Errored, NoState: true, Elapsed: ms})
+	}
+	g.step(g.request(1, 0, 1000))
+	first := one[Send](t, done(0))
+	if s := one[Send](t, spoilt(1, first.Server)); s.Server != 1 {
+		t.Fatalf("sent to %d, want the reader", s.Server)
+	}
+	if s := one[Send](t, done(2)); s.Server == 1 || s.Server == first.Server {
+		t.Errorf("then sent to %d, want the other writer", s.Server)
+	}
+
+	set.MaxAttempts = 3
+	g = newRig(t, set, reader(1), writer(2), writer(3))
+	g.step(g.request(1, 0, 1000))
+	first = one[Send](t, done(0))
+	if s := one[Send](t, spoilt(1, first.Server)); s.Server == 1 || s.Server == first.Server {
+		t.Errorf("with one attempt left sent to %d, want the other writer, which reads by itself", s.Server)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -167,8 +167,8 @@
 		out.Result = choice.ConnectFailed
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		out.Result = choice.TimedOut
-	case errors.As(err, &proto):
-		out.Result = choice.Errored
+	case errors.As(err, &proto): // it did answer: a writer has fetched its state, which is gone with the answer
+		out.Result, out.NoState = choice.Errored, true
 	}
 	return out
 }
