--- a/choice/health.go
+++ b/choice/health.go
@@ -142,9 +142,9 @@
 	}
 }
 
-// turned books whether s turned an attempt of q away. It guards against servers that turn away one class only, for
-// which a pause for all is too short and too wide: each request of that class would be turned away by one after
-// another until none is left to ask. Where all are full, all are alike and nobody is asked last.
+// turned books whether s turned an attempt of q away. It guards against servers that turn one class away:
+// a pause for all is too short and too wide there, and each request of that class would be turned away by one
+// after another until none is left to ask. Where all are full, all are alike and nobody is asked last.
 func (r *Router) turned(s *server, q *request, away bool) {
 	was := s.turns[q.Class] > failBad
 	if s.turns[q.Class] += failGain * (b2f(away) - s.turns[q.Class]); was != (s.turns[q.Class] > failBad) {
@@ -152,9 +152,11 @@
 	}
 }
 
-// shunned tells that s has failed or turned away the class of q, or that its first tokens are slow: it is asked last.
+// shunned tells that s has failed or turned away the class of q, or that its first tokens are slow: it comes
+// last.
 func (s *server) shunned(q *request) bool {
-	return !s.bad && (s.fails[q.Class] > failBad || s.turns[q.Class] > failBad || s.role == Writer && s.slow > slowWriter)
+	slow := s.role == Writer && s.slow > slowWriter
+	return !s.bad && (s.fails[q.Class] > failBad || s.turns[q.Class] > failBad || slow)
 }
 
 // paced learns how long a waiting prompt token takes at s, and over all readers.
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"net/http"
 	"runtime"
 	"strings"
@@ -540,12 +541,13 @@
 			e.BeforeTake(func() {})
 			e.AfterRead(func() { // the read is done, the writer is chosen next; it drains now
 				told.Do(func() {
-					for i := range r.list {
-						if strings.HasPrefix(r.list[i].Name, "writer") {
-							r.list[i].State = choice.Draining
+					list := slices.Clone(r.list) // the loop may still read the one before
+					for i := range list {
+						if strings.HasPrefix(list[i].Name, "writer") {
+							list[i].State = choice.Draining
 						}
 					}
-					r.f.Deliver(register.Update{Scope: choice.Full, Engines: r.list})
+					r.f.Deliver(register.Update{Scope: choice.Full, Engines: list})
 				})
 			})
 		}
