Front node: an address in use ends with exit code 1, a wrong configuration with 3

Both ended with 3, which the operators' page gives to wrong files only. Errors of the configuration are marked by node.ErrConfig; the test of wrong files asks for the mark.

--- a/cmd/brackenbend/node.go
+++ b/cmd/brackenbend/node.go
@@ -37,9 +37,12 @@
 		return err
 	}
 	n, err := node.Start(file, os.Getenv, log)
-	if err != nil {
+	if errors.Is(err, node.ErrConfig) {
 		return coded{err, exitConfig}
 	}
+	if err != nil {
+		return err
+	}
 	for {
 		select {
 		case err := <-n.Failed():
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -27,27 +27,34 @@
 	Site      wire.Site
 }
 
+// ErrConfig marks errors of the configuration.
+var ErrConfig = errors.New("configuration")
+
 // configMost bounds the configuration file.
 const configMost = 16 << 20
 
 // Load reads the file that LB_CONFIG names; LB_NAME, LB_LISTEN and LB_DISCOVERY stand in for what it leaves out.
 func Load(file string, env func(string) string) (*Config, error) {
+	c, err := load(file, env)
+	if err != nil {
+		return nil, fmt.Errorf("%w %s: %w", ErrConfig, file, err)
+	}
+	return c, nil
+}
+
+func load(file string, env func(string) string) (*Config, error) {
 	info, err := os.Stat(file)
 	if err != nil {
 		return nil, err
 	}
 	if info.Size() > configMost {
-		return nil, fmt.Errorf("%s: %d bytes, %d at most", file, info.Size(), configMost)
+		return nil, fmt.Errorf("%d bytes, %d at most", info.Size(), configMost)
 	}
 	text, err := os.ReadFile(file)
 	if err != nil {
 		return nil, err
 	}
-	c, err := parse(text, env)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", file, err)
-	}
-	return c, nil
+	return parse(text, env)
 }
 
 func parse(text []byte, env func(string) string) (*Config, error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,7 @@
 	}
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
+		n.front.Shutdown(context.Background())
 		return nil, fmt.Errorf("listen: %w", err)
 	}
 	n.addr = l.Addr().String()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -591,7 +592,7 @@
 			t.Fatal(err)
 		}
 		_, err := Load(file, func(string) string { return "" })
-		if want == "" && err != nil || want != "" && (err == nil || !strings.Contains(err.Error(), want)) {
+		if want == "" && err != nil || want != "" && (!errors.Is(err, ErrConfig) || !strings.Contains(err.Error(), want)) {
 			t.Errorf("%q: %v", want, err)
 		}
 	}
