--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -376,3 +376,53 @@
 		t.Errorf("later: %v, %d connections kept", got, s.Connections())
 	}
 }
+
+// platform is a dialect like VLLM whose engines begin with a request's last byte.
+func platform(c *Client) *Client {
+	c.WholeSent = true
+	return c
+}
+
+// What was not accepted as a whole never ran where engines begin with the last byte; elsewhere its first byte counts.
+func TestHalfARequestNeverRan(t *testing.T) {
+	s := peer(t, func(_ int, c *net.TCPConn) {
+		_ = c.SetReadBuffer(4096)
+		b := make([]byte, 1)
+		_, _ = c.Read(b)
+		reset(c)
+	})
+	call := Call{Path: "/v1/x", ID: "a", Body: make([]byte, 64<<20), Deadline: time.Now().Add(10 * time.Second)}
+	if out := platform(testClient()).Read(&Attempt{}, s, call); out.Result != choice.ConnectFailed {
+		t.Errorf("the last byte decides: %+v", out)
+	}
+	if out := testClient().Read(&Attempt{}, s, call); out.Result != choice.Reset {
+		t.Errorf("the first byte decides: %+v", out)
+	}
+}
+
+// The bound over all engines is kept by closing what rested longest, wherever that is.
+func TestConnectionsToAllEnginesAreCapped(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `{"kv_transfer_params":{"a":1}}`
+	serve := func(_ int, c *net.TCPConn) {
+		for br := bufio.NewReader(c); request(c, br); {
+			io.WriteString(c, answer)
+		}
+	}
+	c := testClient()
+	c.Total = 2
+	servers := []*Server{peer(t, serve), peer(t, serve), peer(t, serve)}
+	for i, s := range servers {
+		out := c.Read(&Attempt{}, s, Call{Path: "/v1/x", ID: "a", Deadline: time.Now().Add(10 * time.Second)})
+		if out.Result != choice.ReadDone {
+			t.Fatalf("engine %d: %+v", i, out)
+		}
+	}
+	if n := [3]int{servers[0].Connections(), servers[1].Connections(), servers[2].Connections()}; n != [3]int{0, 1, 1} || c.all.Load() != 2 {
+		t.Errorf("%v connections, %d in all", n, c.all.Load())
+	}
+	c.IdleTime = 0 // all that rest are past their time
+	c.Sweep()
+	if n := c.all.Load(); n != 0 || len(c.resting) != 0 {
+		t.Errorf("%d connections after the sweep, %d servers with some", n, len(c.resting))
+	}
+}
