Read again: one mark of idleness, one wait bounded by a deadline, one look at the dialect

A client's connection had a flag and a time for being idle, next had its own copy of within, two places in engine.go cut a wait at a deadline by hand, and each flight's end built a release message only to learn whether there is one. Behaviour is as it was; tests of front, engine and node pass under the race detector.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -227,6 +227,14 @@
 	return !errors.Is(err, os.ErrDeadlineExceeded) && !errors.As(err, &proto) && !errors.Is(err, io.ErrUnexpectedEOF)
 }
 
+// soon is the end of a wait that may not go past deadline.
+func soon(wait time.Duration, deadline time.Time) time.Time {
+	if at := time.Now().Add(wait); at.Before(deadline) {
+		return at
+	}
+	return deadline
+}
+
 // head reads the head of the answer, passing over interim ones. Each may be waited for until deadline, but must be
 // whole soon after its first byte.
 func (c *Client) head(k *conn, deadline time.Time) (*http1.Response, error) {
@@ -238,11 +246,7 @@
 			return nil, err
 		}
 		if !http1.HeadBuffered(k.br) {
-			soon := time.Now().Add(c.HeadTime)
-			if deadline.Before(soon) {
-				soon = deadline
-			}
-			if err := k.SetReadDeadline(soon); err != nil {
+			if err := k.SetReadDeadline(soon(c.HeadTime, deadline)); err != nil {
 				return nil, err
 			}
 		}
@@ -318,11 +322,7 @@
 		return c.answered(a, s, k, resp, false)
 	}
 	if c.HeadTime > 0 { // the first event comes with the head, in time or not at all
-		soon := time.Now().Add(c.StreamIdle)
-		if call.Deadline.Before(soon) {
-			soon = call.Deadline
-		}
-		_ = k.SetReadDeadline(soon)
+		_ = k.SetReadDeadline(soon(c.StreamIdle, call.Deadline))
 	}
 	var body http1.Body
 	body.Reset(k.br, &resp.Message, c.Limits)
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -26,8 +26,7 @@
 	f         *Front
 	nc        net.Conn
 	br        *bufio.Reader
-	idle      atomic.Bool  // between requests
-	idleSince atomic.Int64 // since when, as Unix time in nanoseconds; 0 = it is not
+	idleSince atomic.Int64 // between requests since, as Unix time in nanoseconds; 0 = it is not
 	used      bool         // a request came; under f.mu
 	made      time.Time
 	flooded   bool // sent more while a request was open; by its goroutine
@@ -48,7 +47,7 @@
 func (c *client) streams(last time.Time) { _ = c.nc.SetReadDeadline(last) }
 
 func (c *client) kickIfIdle() {
-	if c.idle.Load() {
+	if c.idleSince.Load() != 0 {
 		c.kick()
 	}
 }
@@ -98,20 +97,14 @@
 // next waits for a request and reads its head.
 func (c *client) next() (*http1.Request, error) {
 	l := c.f.Limits
-	idleUntil := time.Now().Add(l.IdleTime)
-	if !c.used && c.f.FirstTime > 0 {
-		idleUntil = c.made.Add(c.f.FirstTime)
-	}
-	if err := c.nc.SetReadDeadline(idleUntil); err != nil {
+	if err := c.nc.SetReadDeadline(c.within(l.IdleTime)); err != nil {
 		return nil, err
 	}
 	c.idleSince.Store(time.Now().UnixNano())
-	c.idle.Store(true)
 	var err error
-	if !c.f.draining.Load() { // else Shutdown may have looked before idle was set
+	if !c.f.draining.Load() { // else Shutdown may have looked before that was set
 		_, err = c.br.Peek(1)
 	}
-	c.idle.Store(false)
 	c.idleSince.Store(0)
 	if c.f.draining.Load() && c.nc.SetReadDeadline(c.f.look()) == nil {
 		_, err = c.br.Peek(1)
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -210,7 +210,7 @@
 
 // letGo tells the reader to let go of the state of this attempt, which has ended.
 func (a *attempt) letGo(l *loop) {
-	if !a.unsent && l.client.Releases() {
+	if !a.unsent && l.lets {
 		l.letGo(a.id, []*engine.Server{a.srv})
 	}
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -32,6 +32,7 @@
 	f      *Front
 	router *choice.Router
 	client *engine.Client
+	lets   bool // engines are told to let go of state
 	start  time.Time
 
 	mu     sync.Mutex
@@ -65,7 +66,7 @@
 const epoch = 24 * time.Hour
 
 func newLoop(f *Front, r *choice.Router, c *engine.Client) *loop {
-	l := &loop{f: f, router: r, client: c, start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), tasks: make(chan *attempt),
+	l := &loop{f: f, router: r, client: c, lets: c.Releases(), start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), tasks: make(chan *attempt),
 		flights: map[choice.RequestID]*flight{}, servers: map[string]*listed{}, byID: map[choice.ServerID]*listed{}, places: map[string]int{}}
 	for i, stage := range []string{"read", "write"} {
 		for r, name := range resultNames {
@@ -327,7 +328,7 @@
 // release lets go of what reads of fl left at readers. Each is told once its attempt has ended, so that the
 // word can't overtake the read; letting go twice is harmless.
 func (l *loop) release(fl *flight) {
-	if !l.client.Releases() {
+	if !l.lets {
 		return
 	}
 	if fl.holds = true; l.client.ByRequest {
@@ -350,7 +351,7 @@
 // clear lets go of what a flight that ends may have left anywhere, where that goes by its id: the module asked for it,
 // or a read of which nobody knows how it ended came before the one that was written from.
 func (l *loop) clear(fl *flight) {
-	if !l.client.ByRequest || !l.client.Releases() {
+	if !l.client.ByRequest || !l.lets {
 		return
 	}
 	var at []*engine.Server // holders first: the word must reach a process that runs
