--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -16,7 +16,6 @@
 
 	"brackenbend/choice"
 	"brackenbend/internal/api"
-	"brackenbend/internal/http1"
 )
 
 // Settings are one front's settings.
@@ -338,11 +337,6 @@
 	return c
 }
 
-// HTTP are the limits of the protocol parsers.
-func (s *Settings) HTTP() http1.Limits {
-	return http1.Limits{Head: int(s.Limits.Head), Fields: s.Limits.Fields}
-}
-
 func (s *Settings) classIndex(name string) int {
 	return slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
 }
