Register stand-in: a watch that begins as it is cut off is ended too

Checked: the follower's own path is whole (an ended watch leads to a call that gets 503 and to Failed). At fault: the stand-in's serve looked at cut, let the lock go, and watch registered itself after Cut had ended the watches it found; that watch went on for as long as its bookmarks came.

watch looks again under the lock under which it is registered. The new test calls it with cut set after serve's look; before the mend it never returns.

--- a/internal/standin/register/register.go
+++ b/internal/standin/register/register.go
@@ -208,6 +208,10 @@
 	_ = json.NewEncoder(w).Encode(statusObject(code, reason, message))
 }
 
+func cutOff(w http.ResponseWriter) {
+	status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+}
+
 func statusObject(code int, reason, message string) map[string]any {
 	return map[string]any{"kind": "Status", "apiVersion": "v1", "status": "Failure", "reason": reason, "code": code, "message": message}
 }
@@ -219,7 +223,7 @@
 	s.mu.Unlock()
 	switch {
 	case cut:
-		status(w, http.StatusServiceUnavailable, "ServiceUnavailable", "cut off")
+		cutOff(w)
 	case r.PathValue("ns") != s.Namespace:
 		status(w, http.StatusNotFound, "NotFound", "no such namespace")
 	case r.FormValue("watch") == "1" || r.FormValue("watch") == "true":
@@ -313,6 +317,11 @@
 	ctx, stop := context.WithCancel(r.Context())
 	defer stop()
 	s.mu.Lock()
+	if s.cut { // since serve looked: Cut ends the watches that it finds
+		s.mu.Unlock()
+		cutOff(w)
+		return
+	}
 	if from < s.oldest {
 		s.mu.Unlock()
 		status(w, http.StatusGone, "Expired", "too old resource version")
--- a/internal/standin/register/register_test.go
+++ b/internal/standin/register/register_test.go
@@ -119,3 +119,22 @@
 		}
 	}
 }
+
+// TestCutEndsWatchesThatBegin: a watch that arrives as the register is cut off is ended too, or turned away. It was
+// let in, and nothing ended it any more.
+func TestCutEndsWatchesThatBegin(t *testing.T) {
+	s, err := Start("127.0.0.1:0", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.cut = true // after serve had looked
+	for _, late := range []string{"1", "0"} {
+		w := httptest.NewRecorder()
+		r := httptest.NewRequest("GET", "/?watch=1&resourceVersion="+late, nil)
+		s.watch(w, r, "")
+		if w.Code != http.StatusServiceUnavailable {
+			t.Errorf("from version %s: answered %d", late, w.Code)
+		}
+	}
+}
