Front node: at its end streams go while the platform's next node still takes new connections

A probe of connections and requests at both nodes showed two parts: 1.5 s in which no node is in service, and 12 streams cut 3.55 s after SIGTERM, when the other node had been told to end 0.5 s before and took nothing new: none of them came again. Found on the way: the distributor drops a draining node for good once all its kept connections are busy at one time.

At fault: node.Config.drain, which cut streams as late as SIGKILL allows. Now, where the settings say that clients ask for the rest, they go 150 ms before the longest deadline has passed; elsewhere nothing changes.

--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -72,7 +72,7 @@
 	idleLeast   = 2 * time.Second         // an idle client's connection may be closed after so long
 	killAfter   = 700 * time.Millisecond  // SIGKILL comes after SIGTERM by the longest deadline and so much ...
 	killMost    = 3 * time.Second         // ... where longer ones count as this
-	cutBefore   = 150 * time.Millisecond  // before that what is open is cut short
+	cutBefore   = 150 * time.Millisecond  // so long before an end what is open is cut short
 	lingerMost  = 600 * time.Millisecond  // after SIGTERM connections keep coming for 0.4 s; what came by then is in time
 	headTime    = 500 * time.Millisecond  // an answer's head comes at once with its first event
 	margin      = 20 * time.Millisecond   // final answers before the client's time is up
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,15 +121,22 @@
 			IdleTime: idle * 2 / 3, StreamIdle: streamQuiet, Event: 64 << 10, Reply: bodyMost, Limits: http1.Limits{Head: 16 << 10, Fields: 100}}}
 }
 
-// drain is how long after SIGTERM requests are still taken in, and when what is open is cut short: in time for the
-// platform's SIGKILL. To take in more for longer was measured (docs/node.md): their streams are cut at the end.
+// drain is how long after SIGTERM requests are still taken in, and when what is open is cut short. To take in more for
+// longer was measured (docs/node.md): their streams are cut at the end. Clients that ask for the rest of a stream need
+// another front node for it that takes new connections; the platform turns to the next one once the longest deadline has
+// passed, so they are sent off before. Where they don't ask, a stream has until shortly before SIGKILL.
 func (c *Config) drain() (linger, cut time.Duration) {
 	longest := time.Duration(0)
 	for _, k := range c.Site.Choice.Classes {
 		longest = max(longest, k.Deadline)
 	}
-	kill := min(longest, killMost) + killAfter
-	return min(lingerMost, kill/2), kill - cutBefore
+	longest = min(longest, killMost)
+	kill := longest + killAfter
+	linger, cut = min(lingerMost, kill/2), kill-cutBefore
+	if c.Site.Choice.Resume {
+		cut = max(longest-cutBefore, linger)
+	}
+	return linger, cut
 }
 
 // Failed tells why the front node can't go on.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -20,6 +20,8 @@
 
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
+
+	"brackenbend/choice"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -543,6 +545,31 @@
 }
 
 // Connections that ask for nothing make room for those that do, and are closed before long.
+// TestDrainHandsStreamsOverInTime: clients that ask for the rest of a stream must find another front node for it, so they
+// are sent off before the platform turns to the next one; others have their streams until SIGKILL is near.
+func TestDrainHandsStreamsOverInTime(t *testing.T) {
+	const s, ms = time.Second, time.Millisecond
+	for _, k := range []struct {
+		longest     time.Duration
+		resume      bool
+		linger, cut time.Duration
+	}{
+		{15 * s, true, 600 * ms, 2850 * ms},
+		{15 * s, false, 600 * ms, 3550 * ms},
+		{2 * s, true, 600 * ms, 1850 * ms},
+		{2 * s, false, 600 * ms, 2550 * ms},
+		{200 * ms, true, 450 * ms, 450 * ms},
+		{200 * ms, false, 450 * ms, 750 * ms},
+	} {
+		var c Config
+		c.Site.Choice.Resume = k.resume
+		c.Site.Choice.Classes = []choice.Class{{Deadline: 100 * ms}, {Deadline: k.longest}}
+		if linger, cut := c.drain(); linger != k.linger || cut != k.cut {
+			t.Errorf("longest deadline %v, resume %t: takes in for %v, cuts after %v", k.longest, k.resume, linger, cut)
+		}
+	}
+}
+
 func TestSilentConnectionsMakeRoom(t *testing.T) {
 	r, w := newStub(t, "r1", "prefill", reads), newStub(t, "w1", "decode", writes)
 	n, _ := start(t, setup{sockets: 64}, r, w)
