Front node: kept connections are served for two thirds of the drain where clients ask for the rest

The probe before showed that clients go on using a draining node's kept connections while one is idle; the node closed them 0.6 s after SIGTERM.

At fault: node.Config.drain. Where clients ask for the rest, requests are now taken in for two thirds of the longest deadline (counted as 3 s); elsewhere for 0.6 s as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -121,10 +121,11 @@
 			IdleTime: idle * 2 / 3, StreamIdle: streamQuiet, Event: 64 << 10, Reply: bodyMost, Limits: http1.Limits{Head: 16 << 10, Fields: 100}}}
 }
 
-// drain is how long after SIGTERM requests are still taken in, and when what is open is cut short. To take in more for
-// longer was measured (docs/node.md): their streams are cut at the end. Clients that ask for the rest of a stream need
-// another front node for it that takes new connections; the platform turns to the next one once the longest deadline has
-// passed, so they are sent off before. Where they don't ask, a stream has until shortly before SIGKILL.
+// drain is how long after SIGTERM requests are still taken in, and when what is open is cut short. Clients that ask for the
+// rest of a stream need another front node for it that takes new connections; the platform turns to the next one once the
+// longest deadline has passed, so they are sent off before. Since they come again, connections that clients keep using are
+// served for most of that time: the other nodes may be restarting too. Elsewhere a stream has until shortly before SIGKILL,
+// and nothing is taken in that would be cut then.
 func (c *Config) drain() (linger, cut time.Duration) {
 	longest := time.Duration(0)
 	for _, k := range c.Site.Choice.Classes {
@@ -134,6 +135,7 @@
 	kill := longest + killAfter
 	linger, cut = min(lingerMost, kill/2), kill-cutBefore
 	if c.Site.Choice.Resume {
+		linger = max(linger, longest*2/3)
 		cut = max(longest-cutBefore, linger)
 	}
 	return linger, cut
