--- a/choice/admission.go
+++ b/choice/admission.go
@@ -156,6 +156,6 @@
 // hopeless tells that a held request can't be answered in time any more; it is refused early, while trying
 // again later may still help its client.
 func (r *Router) hopeless(q *request) bool {
-	need := time.Duration((r.newTokens[q.Class]*r.readPace/4 + r.firstTime/4) * float64(time.Second))
+	need := seconds(r.newTokens[q.Class]*r.readPace/4 + r.firstTime/4)
 	return r.now+max(margin, need) >= q.limit || len(q.att) >= r.set.MaxAttempts || q.shed
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,9 +1,8 @@
 // Package choice decides for one front of a service with separate readers (prefill) and writers (decode):
-// where a request is read and answered, when it is held, repeated or given up. Its interface (settings,
-// events, actions) stands in api.go, what is remembered in state.go. The decisions: here the constants, the
-// step, attempts and final answers; in admission.go what is held, released and refused; in placing.go where
-// a request is read and written; in room.go caps, memory and cold budgets; in health.go the list of servers
-// and which of them are put aside.
+// where a request is read and answered, when it is held, repeated or given up. Interface: api.go; what is
+// remembered: state.go. The decisions: here the step, attempts and final answers; in admission.go what is
+// held, released and refused; in placing.go where a request is read and written; in room.go caps, memory and
+// cold budgets; in health.go the list of servers and which of them are put aside.
 package choice
 
 import (
@@ -67,7 +66,8 @@
 	// Time-outs and final answers.
 	readLeast  = 800 * time.Millisecond  // least time-out of a read
 	firstLeast = 1500 * time.Millisecond // least time-out of a writer's first token
-	patience   = 8.0                     // time-outs, as a multiple of the usual time
+	patience   = 8.0                     // time-outs, as a multiple of the usual time ...
+	keen       = 4.0                     // ... and where another attempt can then still be in time
 	margin     = 30 * time.Millisecond   // final answers of held requests come this long before Due
 	pauseLeast = 200 * time.Millisecond  // least advised wait
 	parkPart   = 0.5                     // part of the release time that a read state may wait for a writer
@@ -85,8 +85,7 @@
 	s.ColdFrom = cmp.Or(s.ColdFrom, 0.25)
 	r := &Router{set: s, salt: seed, byID: map[ServerID]*server{}, reqs: map[RequestID]*request{},
 		keys: map[uint64]float64{}, newTokens: make([]float64, len(s.Classes)), readPace: 1e-4,
-		limits: make([]due, len(s.Classes)), homeCount: map[uint64]int{}, shape: 1}
-	r.firstTime = 0.3
+		limits: make([]due, len(s.Classes)), homeCount: map[uint64]int{}, shape: 1, firstTime: 0.3}
 	for _, t := range s.Tenants {
 		rate := t.QuotaPerS / float64(s.Fronts)
 		r.tenants = append(r.tenants, bucket{level: max(2*rate, burstLeast), rate: rate})
@@ -183,20 +182,24 @@
 	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a)})
 }
 
-// timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves.
+// timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves. Another
+// replaces it sooner where it can be in time: a guard against requests swallowed by a server that is well.
 func (r *Router) timeout(q *request, a *attempt) time.Duration {
 	usual, least, more := a.ahead*max(r.readPace, a.s.pace1), readLeast, 2
 	if a.write {
 		usual, least, more = usual+r.firstTime, firstLeast, 1
 	}
-	limit := time.Duration(0)
 	if r.shed > jamFrom {
-		limit = max(q.aimAt()-r.now, margin)
+		return max(q.aimAt()-r.now, margin)
 	}
-	if r.set.MaxAttempts-len(q.att) < more || a.write && q.class.Effect != Safe || limit > 0 {
-		return limit
+	if r.set.MaxAttempts-len(q.att) < more || a.write && q.class.Effect != Safe {
+		return 0
 	}
-	return max(least, time.Duration(patience*usual*float64(time.Second)))
+	limit := max(least, seconds(patience*usual))
+	if last := q.aimAt() - r.now - seconds(2*(usual+r.firstTime)); last > seconds(keen*usual) {
+		limit = min(limit, last)
+	}
+	return limit
 }
 
 func (r *Router) first(ev First) {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -279,6 +279,38 @@
 	}
 }
 
+// TestSwallowedAttemptsAreReplacedInTime: a server that is well swallows one request. What may be repeated is given up
+// while another can still be in time; what may not, or is beyond its aim anyway, has its full patience.
+func TestSwallowedAttemptsAreReplacedInTime(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), reader(2), writer(3), writer(4))
+	g.r.firstTime, g.r.readPace = 0.1, 5e-5
+	read := one[Send](t, g.step(g.request(1, 0, 1000)))
+	if aim := time.Second; read.Timeout < 300*ms || read.Timeout > aim-2*100*ms {
+		t.Errorf("a read may take %v, the aim is %v", read.Timeout, aim)
+	}
+	write := one[Send](t, g.after(50*ms, Outcome{Request: 1, Server: read.Server, Result: ReadDone, Elapsed: 50 * ms}))
+	if left := 950 * ms; write.Timeout < 400*ms || write.Timeout > left-2*100*ms {
+		t.Errorf("a first token may take %v, %v are left", write.Timeout, left)
+	}
+	acts := g.after(write.Timeout, Outcome{Request: 1, Attempt: 1, Server: write.Server, Result: TimedOut, Elapsed: write.Timeout})
+	again := one[Send](t, acts)
+	if again.Server == write.Server || again.Timeout < firstLeast {
+		t.Errorf("then %+v, the first was at %d: another writer, which can't be replaced in time", again, write.Server)
+	}
+
+	g = newRig(t, testSettings(), reader(1), reader(2), writer(3), writer(4))
+	read = one[Send](t, g.step(g.request(1, 1, 1000)))
+	write = one[Send](t, g.after(50*ms, Outcome{Request: 1, Server: read.Server, Result: ReadDone, Elapsed: 50 * ms}))
+	if write.Timeout != 0 {
+		t.Errorf("an unsafe write may take %v, nothing may replace it", write.Timeout)
+	}
+	g = newRig(t, testSettings(), reader(1), writer(3))
+	g.r.firstTime, g.r.readPace = 0.1, 3e-4 // usual: 0.36 s
+	if read = one[Send](t, g.step(g.request(1, 0, 1000))); read.Timeout < 2500*ms {
+		t.Errorf("a read that usually takes a good part of the aim may take %v only", read.Timeout)
+	}
+}
+
 func TestAllSilentBlamesNone(t *testing.T) {
 	g := newRig(t, testSettings(), reader(1), writer(2), writer(3), writer(4))
 	for id := RequestID(1); id <= 30; id++ {
--- a/choice/health.go
+++ b/choice/health.go
@@ -92,7 +92,7 @@
 	if s.role != Reader {
 		usual += r.firstTime
 	}
-	return s.waits > 0 && r.now-s.heard > silentLeast+time.Duration(silentFor*usual*float64(time.Second))
+	return s.waits > 0 && r.now-s.heard > silentLeast+seconds(silentFor*usual)
 }
 
 func (r *Router) aside(s *server, why string) {
@@ -103,7 +103,7 @@
 	r.reshape()
 	gap := time.Duration(0) // between own sends to a server
 	if rate := r.roles[s.role].rate; rate > 0.01 {
-		gap = time.Duration(float64(time.Second) / rate)
+		gap = seconds(1 / rate)
 	}
 	s.pause = min(max(2*s.pause, backFirst, gap), backMost)
 	s.back = r.now + s.pause
--- a/choice/state.go
+++ b/choice/state.go
@@ -436,6 +436,8 @@
 	return x ^ x>>31
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 func b2f(v bool) float64 {
 	if v {
 		return 1
