Engines: the last byte of unsafe work is held back until the connection has stood for 3 ms

The whole request was in the kernel by then, so the front node had to take it for possibly run. But the platform's engines begin with a request's last byte, and most of these connections are reset as they come up or while the request comes. Ruled out: asking the kernel what was acknowledged, since a peer's kernel acknowledges what its program never reads. At fault: engine.Client.exchange, which sends all at once.

--- a/choice/api.go
+++ b/choice/api.go
@@ -253,6 +253,7 @@
 	Cancelled                   // called off; it may have run
 	NotSent                     // never sent; it never ran
 	ReadDone                    // the prompt is read, its state waits at the reader
+	Broken                      // the connection broke before the request was whole; it never ran
 )
 
 // Action is a decision; Step returns the types below, in the order in which they are to be carried out.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -41,6 +41,9 @@
 	ByRequest   bool   // state goes by the request's id, at whatever engine; else by each attempt's, at its engine
 	ToLastChunk bool   // a stream is whole with the last chunk behind its last event; else with that event
 	WholeSent   bool   // an engine begins with a request's last byte; else its first byte may have an effect
+	// Settle is how long the last byte of what may run only once is held back: a connection that breaks in that time,
+	// as new ones may, did not run it for certain. 0 = not at all; it needs WholeSent.
+	Settle      time.Duration
 	DialTime    time.Duration
 	HeadTime    time.Duration // for an answer's head, from its first byte; 0 = until the call's deadline
 	Stream      int64         // bytes of a whole stream; 0 = no bound
@@ -108,6 +111,7 @@
 	done  bool // its last event came
 	kept  float64
 	load  []float64
+	up    bool // a connection was there to send it on
 	sent  bool // the engine may act on what was accepted of the request
 }
 
@@ -163,6 +167,8 @@
 		out.Result = choice.NotSent
 	case a.cancelled():
 		out.Result = choice.Cancelled
+	case !a.sent && a.up:
+		out.Result = choice.Broken
 	case !a.sent:
 		out.Result = choice.ConnectFailed
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -199,8 +205,12 @@
 	if err := k.SetDeadline(call.Deadline); err != nil {
 		return fail(k, a.ended(err))
 	}
-	n, err := c.message(s, call).WriteTo(k.Conn)
+	a.up = true
+	n, err := c.transmit(a, s, k, call)
 	a.sent = n > 0 && (!c.WholeSent || err == nil)
+	if errors.Is(err, errShut) {
+		return fail(k, Outcome{Result: choice.NotSent, Err: err})
+	}
 	if err != nil {
 		if n > 0 { // an engine may answer and close before it has read everything
 			_ = k.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
@@ -229,7 +239,7 @@
 
 // soon is the end of a wait that may not go past deadline.
 func soon(wait time.Duration, deadline time.Time) time.Time {
-	if at := time.Now().Add(wait); at.Before(deadline) {
+	if at := time.Now().Add(wait); deadline.IsZero() || at.Before(deadline) {
 		return at
 	}
 	return deadline
@@ -269,6 +279,39 @@
 
 var errShut = errors.New("engine: drains, is gone, or the attempt was called off before its first byte")
 
+// errEarly: the engine spoke before the request was whole.
+var errEarly = errors.New("engine: answered before the request's last byte")
+
+// transmit sends a call's request. The last byte of what may run only once waits until the connection has stood for
+// Settle with all the rest.
+func (c *Client) transmit(a *Attempt, s *Server, k *conn, call *Call) (int64, error) {
+	m, last := c.message(s, call), len(call.Body)-1
+	if !call.Once || c.Settle <= 0 || !c.WholeSent || last < 0 {
+		return m.WriteTo(k.Conn)
+	}
+	(*m)[1] = call.Body[:last]
+	n, err := m.WriteTo(k.Conn)
+	if err != nil {
+		return n, err
+	}
+	if err := k.SetReadDeadline(soon(c.Settle, call.Deadline)); err != nil {
+		return n, err
+	}
+	switch _, err := k.br.Peek(1); {
+	case err == nil:
+		return n, errEarly
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		return n, err
+	case a.cancelled() || !s.IsOpen():
+		return n, errShut
+	}
+	if err := k.SetReadDeadline(call.Deadline); err != nil {
+		return n, err
+	}
+	w, err := k.Write(call.Body[last:])
+	return n + int64(w), err
+}
+
 // message is a call's request; the body is not copied.
 func (c *Client) message(s *Server, call *Call) *net.Buffers {
 	b := make([]byte, 0, 512)
@@ -293,6 +336,9 @@
 		return a.ended(err)
 	}
 	out := c.Dialect.Whole(read, resp, text, err)
+	if out.Result == choice.Errored && !a.sent { // it has not begun, whatever it says
+		out.Result = choice.Broken
+	}
 	out.Report = c.report(resp.Header.Get(c.Load))
 	return out
 }
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"math"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -194,7 +195,7 @@
 	a.result, a.took = resultNames[out.Result], took
 	a.resultMu.Unlock()
 	over := a.finish(out)
-	a.unsent = out.Result == choice.NotSent || out.Result == choice.ConnectFailed || out.Result == choice.Turned
+	a.unsent = slices.Contains([]choice.Result{choice.NotSent, choice.ConnectFailed, choice.Turned, choice.Broken}, out.Result)
 	a.unclear = !a.write && !a.unsent && out.Result != choice.ReadDone
 	close(a.ended)
 	if !a.write && out.Result != choice.ReadDone && !l.client.ByRequest { // a state that it may have left is known to nobody
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -228,7 +228,7 @@
 
 var resultNames = [...]string{choice.Served: "served", choice.Errored: "errored", choice.Turned: "turned", choice.TimedOut: "timed out",
 	choice.ConnectFailed: "connect failed", choice.Reset: "reset", choice.Cancelled: "cancelled", choice.NotSent: "not sent",
-	choice.ReadDone: "read"}
+	choice.ReadDone: "read", choice.Broken: "broke unsent"}
 
 var roleNames = [...]string{choice.Reader: "reader", choice.Writer: "writer", choice.Mixed: "mixed"}
 
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -211,7 +211,7 @@
 		delete(d.open, ev.Request)
 		return
 	}
-	never := ev.Result == choice.Turned || ev.Result == choice.ConnectFailed || ev.Result == choice.NotSent
+	never := slices.Contains([]choice.Result{choice.Turned, choice.ConnectFailed, choice.NotSent, choice.Broken}, ev.Result)
 	switch {
 	case ev.Result == choice.ReadDone:
 		r.read = true
--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -67,7 +67,7 @@
 }
 
 var resultNames = map[choice.Result]string{choice.Served: "served", choice.Errored: "failed", choice.Turned: "turned away", choice.TimedOut: "timed out",
-	choice.ConnectFailed: "not connected", choice.Reset: "reset", choice.Cancelled: "called off", choice.NotSent: "not sent", choice.ReadDone: "done"}
+	choice.ConnectFailed: "not connected", choice.Reset: "reset", choice.Cancelled: "called off", choice.NotSent: "not sent", choice.ReadDone: "done", choice.Broken: "broken before it was whole"}
 
 func (e endOf) String() string {
 	if e.write {
