--- a/choice/choice.go
+++ b/choice/choice.go
@@ -265,7 +265,7 @@
 		r.readDone(q, a, ev)
 	case Served:
 		s.count++
-	case Errored, Reset, Broken: // one connection may break under a server that is well; a crash refuses new ones too
+	case Errored, Reset, Broken: // one connection may break under a server that is well
 		r.learn(s, q, true, failGain, false)
 	case TimedOut:
 		s.slow += slowGain * (patience - s.slow)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -311,6 +311,46 @@
 	}
 }
 
+// TestAClassSwallowedIsAskedLast: a writer answers one class and swallows another, whose attempts have no time-out. Once
+// one has been silent for long, that class goes to the other writer though it has more streams; the rest stays.
+func TestAClassSwallowedIsAskedLast(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2), writer(3))
+	at := func(id RequestID, class int) ServerID {
+		read := one[Send](t, g.after(10*ms, g.request(id, class, 500)))
+		return one[Send](t, g.after(10*ms, Outcome{Request: id, Server: read.Server, Result: ReadDone, Elapsed: 10 * ms})).Server
+	}
+	bad := at(1, 1) // it says nothing from now on
+	var others []RequestID
+	for id := RequestID(2); id < 6; id++ { // streams at the other one
+		if s := at(id, 0); s != bad {
+			others = append(others, id)
+		}
+		g.step(First{Request: id, Attempt: 1, Server: g.r.reqs[id].att[1].s.ID, Elapsed: 10 * ms})
+	}
+	for range 60 { // others are answered there all the while
+		g.after(50 * ms)
+		g.r.byID[bad].heard = g.now
+	}
+	if len(others) == 0 || g.r.byID[bad].bad || !g.r.byID[bad].muteTo(1) || g.r.byID[bad].muteTo(0) {
+		t.Fatalf("%d streams elsewhere, %+v", len(others), g.r.byID[bad])
+	}
+	for _, s := range g.r.servers { // the one that swallows is the emptiest
+		if s.role == Writer && s.ID != bad {
+			s.n = 9
+		}
+	}
+	if s := at(20, 1); s == bad {
+		t.Error("the class went where it was swallowed")
+	}
+	if s := at(21, 0); s != bad {
+		t.Error("another class left the writer too")
+	}
+	g.step(Outcome{Request: 1, Attempt: 1, Server: bad, Result: TimedOut, Elapsed: 5 * time.Second})
+	if g.after(judgeEvery); g.r.byID[bad].muteTo(1) {
+		t.Error("still held against it when the attempt has ended")
+	}
+}
+
 func TestAllSilentBlamesNone(t *testing.T) {
 	g := newRig(t, testSettings(), reader(1), writer(2), writer(3), writer(4))
 	for id := RequestID(1); id <= 30; id++ {
--- a/choice/health.go
+++ b/choice/health.go
@@ -85,14 +85,14 @@
 	}
 }
 
-// silent tells that s has had attempts for much longer than the usual time and has said nothing since.
-// Attempts of an unsafe class have no time-out, so without it a stall would show at their deadlines only.
-func (r *Router) silent(s *server) bool {
+// silence is for how long s, or an attempt there, may say nothing: much longer than the usual time. Attempts
+// of an unsafe class have no time-out, so without it a stall would show at their deadlines only.
+func (r *Router) silence(s *server) time.Duration {
 	usual := s.unread * r.readPace
 	if s.role != Reader {
 		usual += r.firstTime
 	}
-	return s.waits > 0 && r.now-s.heard > silentLeast+seconds(silentFor*usual)
+	return silentLeast + seconds(silentFor*usual)
 }
 
 func (r *Router) aside(s *server, why string) {
@@ -152,11 +152,11 @@
 	}
 }
 
-// shunned tells that s has failed or turned away the class of q, or that its first tokens are slow: it comes
-// last.
+// shunned tells that s has failed, turned away or swallowed the class of q, or that its first tokens are
+// slow: it comes last.
 func (s *server) shunned(q *request) bool {
 	slow := s.role == Writer && s.slow > slowWriter
-	return !s.bad && (s.fails[q.Class] > failBad || s.turns[q.Class] > failBad || slow)
+	return !s.bad && (s.fails[q.Class] > failBad || s.turns[q.Class] > failBad || slow || s.muteTo(q.Class))
 }
 
 // paced learns how long a waiting prompt token takes at s, and over all readers.
--- a/choice/state.go
+++ b/choice/state.go
@@ -107,6 +107,8 @@
 	fail   float64       // share of late outcomes that failed, of the class that failed least
 	fails  []float64     // the same, by class; fades
 	turns  []float64     // share of each class's late attempts that it turned away; fades
+	mute   []bool        // classes of which an attempt there has said nothing for longer than silence allows
+	hung   []int         // how many such attempts; used by mutes
 	learnt time.Duration // last outcome
 	count  float64       // pieces finished; fades
 	seen   time.Duration
@@ -330,8 +332,39 @@
 	}
 }
 
+// silent tells that s has had attempts for longer than silence allows and has said nothing since.
+func (r *Router) silent(s *server) bool { return s.waits > 0 && r.now-s.heard > r.silence(s) }
+
+// mutes finds the classes to which each server has been silent, though others may well be answered there.
+func (r *Router) mutes() {
+	for _, s := range r.servers {
+		clear(s.hung)
+	}
+	for _, q := range r.reqs {
+		for i := range q.att {
+			if a := &q.att[i]; a.out && a.quiet && !q.ended && r.now-a.at > r.silence(a.s) {
+				if a.s.hung == nil {
+					a.s.hung, a.s.mute = make([]int, len(r.set.Classes)), make([]bool, len(r.set.Classes))
+				}
+				a.s.hung[q.Class]++
+			}
+		}
+	}
+	for _, s := range r.servers {
+		for c, n := range s.hung {
+			if s.mute[c] != (n > 0) {
+				s.mute[c] = n > 0
+				r.reshape()
+			}
+		}
+	}
+}
+
+func (s *server) muteTo(class int) bool { return class < len(s.mute) && s.mute[class] }
+
 // count sums up each role anew.
 func (r *Router) count() {
+	r.mutes()
 	for i := range r.roles {
 		f := &r.roles[i]
 		*f = roleFigures{rate: f.rate, fails: f.fails[:0]}
