--- a/internal/front/forget_test.go
+++ b/internal/front/forget_test.go
@@ -36,3 +36,45 @@
 		t.Errorf("%d numbers were given to 6000 places: one came twice", l.placed)
 	}
 }
+
+// TestStartsOnTheLoopsClock: when engines started is told in the clock's own time; the module hears it on the loop's, to the
+// instant, so that it knows which are cold and which started anew. An engine that moved keeps its identity, and nothing
+// more goes to where it was.
+func TestStartsOnTheLoopsClock(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	ctx, stop := context.WithTimeout(context.Background(), 20*time.Second)
+	defer stop()
+	r.f.Shutdown(ctx) // the loop is over: lists may be given to it from here
+	l := r.f.loop
+	tell := func(address string, started time.Time) choice.Server {
+		t.Helper()
+		e := register.Engine{Name: "pod", Kind: "writer", Zone: "z", Cell: "c", Address: address, State: choice.Ready, Started: started}
+		ev, ok := l.list(&register.Update{Scope: choice.Changes, Engines: []register.Engine{e}}).(choice.ServerList)
+		if !ok || len(ev.Servers) != 1 {
+			t.Fatalf("%+v", ev)
+		}
+		return ev.Servers[0]
+	}
+	first := tell("127.0.0.1:1", time.Time{})
+	for _, k := range []struct {
+		name    string
+		started time.Time
+		want    time.Duration
+	}{
+		{"long ago", time.Time{}, 0},
+		{"before the front", l.start.Add(-5 * time.Second), epoch - 5*time.Second},
+		{"after the front", l.start.Add(7 * time.Second), epoch + 7*time.Second},
+		{"days before the front", l.start.Add(-72 * time.Hour), 0},
+	} {
+		if got := tell("127.0.0.1:1", k.started); got.ReadyAt != k.want || got.ID != first.ID {
+			t.Errorf("%s: %+v, want it ready at %v", k.name, got, k.want)
+		}
+	}
+	was := l.byID[first.ID].srv
+	if moved := tell("127.0.0.1:2", time.Time{}); moved.ID != first.ID {
+		t.Errorf("an engine that moved is another one: %d, was %d", moved.ID, first.ID)
+	}
+	if now := l.byID[first.ID].srv; was.IsOpen() || !now.IsOpen() || now.Address != "127.0.0.1:2" {
+		t.Errorf("where it was is open: %t; now at %s, open: %t", was.IsOpen(), now.Address, now.IsOpen())
+	}
+}
