Front: a shutdown that comes as serving begins is no race any more

Seen: the race detector found Shutdown's wait beside Serve's count of itself in TestStartsOnTheLoopsClock, which shuts a front down that has just begun, as SIGTERM at the start of a process does. At fault: front.go, Serve, which counted itself in before it asked whether the front drains, with no lock in common; Shutdown could return while Serve still went on.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -181,15 +181,17 @@
 
 // Serve accepts clients until Shutdown or a failure of the listener.
 func (f *Front) Serve(l net.Listener) error {
-	f.wait.Add(1)
-	defer f.wait.Done()
-	defer l.Close()
 	f.mu.Lock()
-	f.listener = l
-	f.mu.Unlock()
-	if f.draining.Load() {
+	if f.draining.Load() { // Shutdown came first, and may be waiting already
+		f.mu.Unlock()
+		l.Close()
 		return nil
 	}
+	f.listener = l
+	f.wait.Add(1)
+	f.mu.Unlock()
+	defer f.wait.Done()
+	defer l.Close()
 	pause := 5 * time.Millisecond
 	for {
 		nc, err := l.Accept()
