Results: one place tells which of them never ran

Read again: the list of results that are known not to have run stood in the front, in the yardsticks and in the laboratory's emulator, and the new one (Broken) had been added to two of the three. choice.Result.NeverRan has it now; the emulator makes no such result yet, so nothing changes there.

--- a/choice/api.go
+++ b/choice/api.go
@@ -256,6 +256,11 @@
 	Broken                      // the connection broke before the request was whole; it never ran
 )
 
+// NeverRan tells that the server did nothing for the attempt, for certain.
+func (r Result) NeverRan() bool {
+	return r == Turned || r == ConnectFailed || r == NotSent || r == Broken
+}
+
 // Action is a decision; Step returns the types below, in the order in which they are to be carried out.
 type Action interface{ action() }
 
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"math"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -195,7 +194,7 @@
 	a.result, a.took = resultNames[out.Result], took
 	a.resultMu.Unlock()
 	over := a.finish(out)
-	a.unsent = slices.Contains([]choice.Result{choice.NotSent, choice.ConnectFailed, choice.Turned, choice.Broken}, out.Result)
+	a.unsent = out.Result.NeverRan()
 	a.unclear = !a.write && !a.unsent && out.Result != choice.ReadDone
 	close(a.ended)
 	if !a.write && out.Result != choice.ReadDone && !l.client.ByRequest { // a state that it may have left is known to nobody
--- a/internal/lab/baseline/baseline.go
+++ b/internal/lab/baseline/baseline.go
@@ -211,7 +211,7 @@
 		delete(d.open, ev.Request)
 		return
 	}
-	never := slices.Contains([]choice.Result{choice.Turned, choice.ConnectFailed, choice.NotSent, choice.Broken}, ev.Result)
+	never := ev.Result.NeverRan()
 	switch {
 	case ev.Result == choice.ReadDone:
 		r.read = true
--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -461,7 +461,7 @@
 	}
 	at.over = true
 	x.ends[endOf{at.write, result}]++
-	at.unsent = at.unsent || result == choice.ConnectFailed || result == choice.Turned || result == choice.NotSent
+	at.unsent = at.unsent || result.NeverRan()
 	fl.out--
 	over := fl.state == streaming && fl.owner == n
 	if over {
