--- a/choice/choice.go
+++ b/choice/choice.go
@@ -164,9 +164,7 @@
 		a.unread = r.unread(q, s)
 	}
 	r.age(s)
-	if s.waits++; s.waits == 1 {
-		s.heard = r.now
-	}
+	r.ask(q, s)
 	if s.n++; s.bad { // a trial is out
 		r.reshape()
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -108,7 +108,8 @@
 	fails  []float64     // the same, by class; fades
 	turns  []float64     // share of each class's late attempts that it turned away; fades
 	mute   []bool        // classes of which an attempt there has said nothing for longer than silence allows
-	hung   []int         // how many such attempts; used by mutes
+	hung   []bool        // used by mutes
+	asked  []word        // attempts that may have said nothing yet, the oldest first
 	learnt time.Duration // last outcome
 	count  float64       // pieces finished; fades
 	seen   time.Duration
@@ -338,24 +339,21 @@
 // mutes finds the classes to which each server has been silent, though others may well be answered there.
 func (r *Router) mutes() {
 	for _, s := range r.servers {
+		s.asked = slices.DeleteFunc(s.asked, func(w word) bool { return !w.attempt().out || !w.attempt().quiet })
+		if len(s.asked) == 0 && s.mute == nil {
+			continue
+		}
+		if s.mute == nil {
+			s.mute, s.hung = make([]bool, len(r.set.Classes)), make([]bool, len(r.set.Classes))
+		}
 		clear(s.hung)
-	}
-	for _, q := range r.reqs {
-		for i := range q.att {
-			if a := &q.att[i]; a.out && a.quiet && !q.ended && r.now-a.at > r.silence(a.s) {
-				if a.s.hung == nil {
-					a.s.hung, a.s.mute = make([]int, len(r.set.Classes)), make([]bool, len(r.set.Classes))
-				}
-				a.s.hung[q.Class]++
-			}
+		silence := r.silence(s)
+		for _, w := range s.asked {
+			s.hung[w.q.Class] = s.hung[w.q.Class] || !w.q.ended && r.now-w.attempt().at > silence
 		}
-	}
-	for _, s := range r.servers {
-		for c, n := range s.hung {
-			if s.mute[c] != (n > 0) {
-				s.mute[c] = n > 0
-				r.reshape()
-			}
+		if !slices.Equal(s.hung, s.mute) {
+			s.hung, s.mute = s.mute, s.hung
+			r.reshape()
 		}
 	}
 }
@@ -412,6 +410,22 @@
 	}
 }
 
+// word is one that an attempt at a server is to give.
+type word struct {
+	q *request
+	n int // of its attempts
+}
+
+func (w word) attempt() *attempt { return &w.q.att[w.n] }
+
+// ask books the next attempt of q among those at s that wait for a word.
+func (r *Router) ask(q *request, s *server) {
+	if s.waits++; s.waits == 1 {
+		s.heard = r.now
+	}
+	s.asked = append(s.asked, word{q, len(q.att)})
+}
+
 // hear books an attempt out of those that wait for a word and to be read; said tells that the server
 // itself gave it.
 func (r *Router) hear(a *attempt, said bool) {
