Module: a read state's release time runs on while writers' connections fail to come up

Ruled out: the call that lets go (it is sent only at the request's end, which came after) and reads (both were answered).

Now only what a writer had ends the wait; a Send of a waiting state bounds its connection by a fifth of the release time (choice.Send.Connect, carried by front and engine to the dial), and place gives up when no further connection fits. unpark's own give-up is folded into place.

--- a/choice/api.go
+++ b/choice/api.go
@@ -270,6 +270,8 @@
 		Request RequestID
 		Server  ServerID
 		Timeout time.Duration // 0 = until Due
+		// Connect is how long a connection may take to come up, since a state waits meanwhile; 0 = as long as ever.
+		Connect time.Duration
 	}
 	// Refuse is a final answer: not now, trying again after Wait is harmless.
 	Refuse struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -71,6 +71,7 @@
 	margin     = 30 * time.Millisecond   // final answers of held requests come this long before Due
 	pauseLeast = 200 * time.Millisecond  // least advised wait
 	parkPart   = 0.5                     // part of the release time that a read state may wait for a writer
+	connects   = 5                       // a connection may take this part of it to come up meanwhile
 )
 
 // New makes the decisions' state for one front; fronts of a service get seeds of their own.
@@ -177,7 +178,8 @@
 	q.att = append(q.att, a)
 	q.out++
 	q.read = q.read || !write
-	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a)})
+	connect := r.set.ReleaseWithin / connects * time.Duration(b2f(q.reader != nil))
+	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a), Connect: connect})
 }
 
 // timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves. Another
@@ -295,7 +297,9 @@
 		q.ran && q.class.Effect == Keyed && !waits:
 		r.finish(q, r.no(q, len(r.held)))
 	case waits:
-		q.stateAt = r.now
+		if !ev.Result.NeverRan() || ev.Result == Turned { // the writer had it: the state was not just waiting
+			q.stateAt = r.now
+		}
 		r.place(q)
 	default:
 		q.reader = nil
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -445,6 +445,41 @@
 	}
 }
 
+// TestAStateDoesNotWaitForConnectionsThatFail: one writer after another can't be reached. The state waits all the while,
+// so connections get little time, and it is let go of in time with an answer; a writer that had the request ends the wait.
+func TestAStateDoesNotWaitForConnectionsThatFail(t *testing.T) {
+	s := testSettings()
+	s.MaxAttempts = 20
+	for _, turned := range []bool{false, true} {
+		var servers []Server
+		for id := ServerID(2); id < 30; id++ {
+			servers = append(servers, writer(id))
+		}
+		g := newRig(t, s, append(servers, reader(1))...)
+		g.step(g.request(1, 0, 500))
+		acts, waited, n := g.after(ms, Outcome{Request: 1, Server: 1, Result: ReadDone, Elapsed: ms}), time.Duration(0), 0
+		for len(pick[Send](acts)) > 0 {
+			a, result := one[Send](t, acts), ConnectFailed
+			if a.Connect <= 0 || waited+a.Connect > s.ReleaseWithin {
+				t.Fatalf("attempt %d after %v may take %v to connect", n, waited, a.Connect)
+			}
+			if n++; turned && n == 3 {
+				result = Turned
+			}
+			waited += a.Connect
+			acts = g.after(a.Connect, Outcome{Request: 1, Attempt: n, Server: a.Server, Elapsed: a.Connect, Result: result})
+			if result == Turned {
+				waited = 0
+			}
+		}
+		one[Refuse](t, acts)
+		one[Release](t, acts)
+		if want := 5 + 3*b2i(turned); n != want {
+			t.Errorf("%d attempts, want %d", n, want)
+		}
+	}
+}
+
 func TestOddEventsAreHarmless(t *testing.T) {
 	g := newRig(t, testSettings(), reader(1), writer(2))
 	huge := g.request(9, 0, 3e7)
--- a/choice/placing.go
+++ b/choice/placing.go
@@ -189,11 +189,14 @@
 	return true
 }
 
-// place sends a read request to a writer; if none may be sent to, it waits for part of the release time.
+// place sends a read request to a writer; if none may be sent to, it waits for part of the release time. That
+// counts from the read, or from the last word of a writer: while connections fail to come up the state waits.
 func (r *Router) place(q *request) {
-	s := r.writer(q, false)
+	s, waited := r.writer(q, false), r.now-q.stateAt
 	switch {
-	case len(q.att) >= r.set.MaxAttempts || r.now >= q.Due || r.jammed(q):
+	case len(q.att) >= r.set.MaxAttempts || r.now+margin >= q.Due || r.jammed(q),
+		waited > r.set.ReleaseWithin*(connects-1)/connects,
+		s == nil && waited >= time.Duration(parkPart*float64(r.set.ReleaseWithin)):
 		r.finish(q, r.no(q, len(r.held)))
 	case s != nil:
 		r.send(q, s, true)
@@ -202,17 +205,11 @@
 	}
 }
 
-// unpark tries parked requests again and lets go of what has waited long enough.
+// unpark tries parked requests again.
 func (r *Router) unpark() {
 	waiting := r.parked
 	r.parked = nil
 	for _, q := range waiting {
-		limit := q.stateAt + time.Duration(parkPart*float64(r.set.ReleaseWithin))
-		switch {
-		case r.now >= limit || r.now+margin >= q.Due:
-			r.finish(q, r.no(q, len(r.held)))
-		default:
-			r.place(q)
-		}
+		r.place(q)
 	}
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -69,8 +69,9 @@
 	ID       string // of this attempt, unique over fronts and restarts
 	Key      string // Idempotency-Key, empty = none
 	Body     []byte
-	Once     bool      // may run only once: rides on a connection of its own
-	Deadline time.Time // for the first token, or the whole of a read
+	Once     bool          // may run only once: rides on a connection of its own
+	Connect  time.Duration // for a new connection to come up; 0 = Client.DialTime
+	Deadline time.Time     // for the first token, or the whole of a read
 }
 
 // Outcome is how an attempt ended.
@@ -192,7 +193,11 @@
 	if a.cancelled() || !s.IsOpen() {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: errShut})
 	}
-	k, err := c.take(a, s, call.Once, call.Deadline)
+	up := call.Deadline
+	if call.Connect > 0 {
+		up = soon(call.Connect, up)
+	}
+	k, err := c.take(a, s, call.Once, up)
 	if errors.Is(err, errTooMany) {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: err})
 	}
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -142,6 +142,7 @@
 	id       string
 	kv       json.RawMessage
 	limit    time.Time
+	connect  time.Duration
 	handle   engine.Attempt
 	began    time.Time
 	ended    chan struct{}
@@ -169,7 +170,7 @@
 //
 //go:noinline
 func (a *attempt) perform(l *loop) engine.Outcome {
-	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit}
+	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, Connect: a.connect}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -272,7 +272,7 @@
 		return
 	}
 	n := len(fl.attempts)
-	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, ended: make(chan struct{})}
+	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{})}
 	if att.id == "" {
 		att.id = l.f.wideID(fl.id, n)
 	}
