Front: a request that comes as its connection is evicted is not begun

At fault: client.next, which set idleSince to 0 with a plain store, and Front.makeRoom, which closed by an earlier look. Whoever swaps idleSince now owns the moment.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -26,7 +26,7 @@
 	f         *Front
 	nc        net.Conn
 	br        *bufio.Reader
-	idleSince atomic.Int64 // between requests since, as Unix time in nanoseconds; 0 = it is not
+	idleSince atomic.Int64 // between requests since, as Unix time in nanoseconds; 0 = it is not; or evicted
 	used      bool         // a request came; under f.mu
 	made      time.Time
 	flooded   bool // sent more while a request was open; by its goroutine
@@ -36,6 +36,22 @@
 
 var past = time.Unix(1, 0)
 
+// evicted marks a connection that was ended between requests to make room.
+const evicted = -1
+
+// resume ends the time between requests. It is false for a connection that was evicted meanwhile: what came on it just then
+// is not begun, since its client sends it again elsewhere.
+func (c *client) resume() bool { return c.idleSince.Swap(0) != evicted }
+
+// evict ends a connection that has been between requests since then; false if it no longer is.
+func (c *client) evict(since int64) bool {
+	if !c.idleSince.CompareAndSwap(since, evicted) {
+		return false
+	}
+	c.nc.Close()
+	return true
+}
+
 func newClient(f *Front, nc net.Conn) *client {
 	return &client{f: f, nc: nc, made: time.Now(), br: bufio.NewReaderSize(nc, 2048)}
 }
@@ -47,7 +63,7 @@
 func (c *client) streams(last time.Time) { _ = c.nc.SetReadDeadline(last) }
 
 func (c *client) kickIfIdle() {
-	if c.idleSince.Load() != 0 {
+	if c.idleSince.Load() > 0 {
 		c.kick()
 	}
 }
@@ -105,7 +121,9 @@
 	if !c.f.draining.Load() { // else Shutdown may have looked before that was set
 		_, err = c.br.Peek(1)
 	}
-	c.idleSince.Store(0)
+	if !c.resume() {
+		return nil, io.EOF
+	}
 	if c.f.draining.Load() && c.nc.SetReadDeadline(c.f.look()) == nil {
 		_, err = c.br.Peek(1)
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -259,22 +259,26 @@
 		return false
 	}
 	now := time.Now().UnixNano()
-	var oldest *client
-	for c := range f.conns {
-		since := c.idleSince.Load()
-		if since == 0 || c.used && now-since < int64(f.IdleLeast) || oldest != nil && !oldest.used && c.used {
-			continue
+	for {
+		var oldest *client
+		var rested int64
+		for c := range f.conns {
+			since := c.idleSince.Load()
+			if since <= 0 || c.used && now-since < int64(f.IdleLeast) || oldest != nil && !oldest.used && c.used {
+				continue
+			}
+			if oldest == nil || oldest.used && !c.used || since < rested {
+				oldest, rested = c, since
+			}
 		}
-		if oldest == nil || oldest.used && !c.used || since < oldest.idleSince.Load() {
-			oldest = c
+		if oldest == nil {
+			return false
+		}
+		if oldest.evict(rested) { // else a request has come on it
+			delete(f.conns, oldest)
+			return true
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	delete(f.conns, oldest)
-	oldest.nc.Close()
-	return true
 }
 
 // Shutdown stops accepting, lets what is held be answered until ctx ends, then fails the rest, which promises
