Engines: an unsafe attempt that is given up is parted with before anything follows from it

Ruled out: effects and windows of the class (unsafe by the site), evicted clients (descriptors 48 to 73 of 896), last bytes held back (no writer was asked).

Cause: the attempt's connection is closed some 20 us before the refusal or the next attempt is written.

The test fails without the change (no wait).

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -44,6 +44,7 @@
 	// Settle is how long the last byte of what may run only once is held back: a connection that breaks in that time,
 	// as new ones may, did not run it for certain. 0 = not at all; it needs WholeSent.
 	Settle      time.Duration
+	Pause       func(time.Duration) // time.Sleep, where tests don't say otherwise
 	DialTime    time.Duration
 	HeadTime    time.Duration // for an answer's head, from its first byte; 0 = until the call's deadline
 	Stream      int64         // bytes of a whole stream; 0 = no bound
@@ -348,6 +349,19 @@
 	return out
 }
 
+// Part waits for Settle after an attempt that was given up: its connection is closed, and the engine has to know before
+// another engine or the client is told anything that follows from it. What the engine ended itself needs no wait.
+func (c *Client) Part(out *Outcome) {
+	switch out.Result {
+	case choice.TimedOut, choice.Cancelled, choice.Errored, choice.Broken:
+		if c.Pause != nil {
+			c.Pause(c.Settle)
+			return
+		}
+		time.Sleep(c.Settle)
+	}
+}
+
 // Read runs the reading stage at s.
 func (c *Client) Read(a *Attempt, s *Server, call Call) Outcome {
 	k, resp, failed := c.exchange(a, s, &call)
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -163,6 +163,9 @@
 func (a *attempt) run(l *loop) {
 	a.began, a.post = time.Now(), l.post
 	out := a.perform(l)
+	if a.fl.class.Effect == choice.Unsafe {
+		l.client.Part(&out)
+	}
 	a.conclude(l, &out)
 }
 
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -587,3 +588,20 @@
 		t.Errorf("%d %q", resp.StatusCode, text)
 	}
 }
+
+// TestAnUnsafeAttemptIsPartedWithBeforeAnythingFollows: an engine that swallows a read may see the end of its connection
+// later than the client sees the refusal. So between the two the front waits; where nothing may run twice it need not.
+func TestAnUnsafeAttemptIsPartedWithBeforeAnythingFollows(t *testing.T) {
+	for _, class := range []string{"brief", "quick"} {
+		r := newRig(t, "", "reader", "writer")
+		r.engines["reader-0"].SetFaults(standin.Faults{Stall: true})
+		var waits atomic.Int64
+		r.f.loop.client.Pause = func(time.Duration) { waits.Add(1) }
+		resp, text := r.post(class, chat(true, 3))
+		came := int64(r.engines["reader-0"].Arrivals()) // each was given up
+		want := map[string]int64{"quick": came}[class]
+		if resp.StatusCode < 429 || waits.Load() != want || came == 0 {
+			t.Errorf("%s: status %d, %d waits, %d attempts at the reader: %s", class, resp.StatusCode, waits.Load(), came, text)
+		}
+	}
+}
