Front: an unsafe request with an attempt out is refused once that has ended

Only Ending refuses with an attempt out: the refusal was written while the read's connection was still open. Now the front holds the refusal until the attempt that the module calls off has ended (flight.refuse, loop.ended), a few ms; client.cutShort leaves such requests alone.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -311,13 +311,12 @@
 // failure. A client's own repeat of an unsafe request can't be told from one after a lost answer, and is
 // failed on arrival; so a refusal of one is handed up by the client, and its user asks anew.
 func (r *Router) no(q *request, waiting int) Action {
-	unsafe := q.class.Effect == Unsafe
-	risky := q.ran || slices.ContainsFunc(q.att, func(a attempt) bool { return a.out && (a.write || unsafe) })
-	if risky && (unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
+	risky := q.ran || slices.ContainsFunc(q.att, func(a attempt) bool { return a.out && a.write })
+	if risky && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
 		return Fail{q.ID, false}
 	}
 	wait := min(max(pauseLeast, time.Duration(waiting)*10*time.Millisecond), r.set.MaxWait)
-	return Refuse{q.ID, wait, unsafe}
+	return Refuse{q.ID, wait, q.class.Effect == Unsafe}
 }
 
 // finish is the one place where a request ends. It answers, calls off what is out and lets go of what is
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -71,6 +71,9 @@
 // cutShort fails what the connection waits for: the front ends.
 func (c *client) cutShort() {
 	if fl := c.fl.Load(); fl != nil {
+		if fl.parts.Load() { // its answer comes in a moment
+			return
+		}
 		if fl.finish(failure(fl)) {
 			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
 			return
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -47,6 +47,7 @@
 	done   chan struct{} // closed once the answer is set or the stream has ended
 	answer Answer        // set before done is closed, by the owner of the answer
 	result string        // for the log, as answer
+	parts  atomic.Bool   // the answer is known, and comes once its last attempt has ended
 	events atomic.Int64  // of the stream
 	first  atomic.Int64  // nanoseconds from taken to the first token
 
@@ -57,7 +58,8 @@
 	// owned by the loop
 	out   int
 	kv    json.RawMessage
-	holds bool // the module wants what it may hold let go
+	after *Answer // set once out is 0: see refuse
+	holds bool    // the module wants what it may hold let go
 }
 
 // Answer is what a client gets that is not a stream.
@@ -115,6 +117,17 @@
 // finish sets the final answer if there is none yet.
 func (fl *flight) finish(a Answer) bool { return fl.settle(open, a) }
 
+// refuse refuses fl. What is unsafe and has an attempt out, which the module calls off, is refused when that has ended: its engine
+// knows first that nobody waits for it (engine.Client.Part). Called by the loop.
+func (fl *flight) refuse(a Answer) {
+	if fl.out > 0 && fl.class.Effect == choice.Unsafe && fl.to.f.Choice.CanCancel {
+		fl.after = &a
+		fl.parts.Store(true)
+		return
+	}
+	fl.finish(a)
+}
+
 func (fl *flight) settle(from int32, a Answer) bool {
 	if !fl.state.CompareAndSwap(from, answered) {
 		return false
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -219,6 +219,9 @@
 	if ev.Result == choice.ReadDone {
 		fl.kv = it.kv
 	}
+	if fl.out == 0 && fl.after != nil {
+		fl.finish(*fl.after)
+	}
 	stage := &l.ends[0]
 	if fl.attempts[ev.Attempt].write {
 		stage = &l.ends[1]
@@ -238,7 +241,7 @@
 		l.send(a)
 	case choice.Refuse:
 		if fl := l.flight(a.Request); fl != nil {
-			fl.finish(refusal(a))
+			fl.refuse(refusal(a))
 		}
 	case choice.Fail:
 		if fl := l.flight(a.Request); fl != nil {
