Discovery: the calls' times are shared out from the 6 s in which a change counts as told

Watcher.Late is the sum at its worst (a silent watch, a connection that does not come up, a list that takes all its time); budget.go takes hold, connect, answer and pause from the 6 s with the node's own lateness off, and a test holds the sum against them. Pauses are drawn from the node's seed and end when discovery moves; a call that was given up for its time is made anew at once.

--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -81,6 +81,18 @@
 	idleTime    = 30 * time.Second        // likewise
 )
 
+// Discovery's calls. Whatever happened to calls before, a change counts as told 6 s after discovery had it and could be reached. The
+// discovery is an agent on the node's own machine, so that a connection and an answer need little; what is left of the 6 s,
+// and of what the node itself may be late by with its part of a core, is what a watch may wait (discovery.Watcher.Late).
+const (
+	told         = 6 * time.Second
+	ownLate      = 500 * time.Millisecond
+	watchConnect = 250 * time.Millisecond
+	watchAnswer  = time.Second
+	watchPause   = 250 * time.Millisecond
+	watchHold    = told - ownLate - watchAnswer - (watchConnect + watchPause) - (watchConnect + watchAnswer)
+)
+
 // limits are the front's, from the budget.
 func (b Budget) limits() config.Limits {
 	return config.Limits{Open: b.Open, Connections: b.Clients, Head: 16 << 10, Fields: 100, Body: bodyMost, Whole: bodyMost, Event: 64 << 10,
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -8,7 +8,9 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -97,15 +99,23 @@
 	Deliver func(register.Update) // called from Run's goroutine only
 	Log     func(msg string, err error)
 	Hold    time.Duration // how long a watch may wait
-	Answer  time.Duration // for an answer, beyond that
-	Pause   time.Duration // after a failed call
+	Connect time.Duration // for a connection to come up
+	Answer  time.Duration // for an answer, whole, beyond the wait
+	Pause   time.Duration // after a failed call, at most
 	Most    int64         // bytes of an answer
+	Seed    uint64        // of the pauses' draws: nodes that lost one discovery together come back spread out
 
+	dial    func(ctx context.Context, address string) (net.Conn, error) // nil = TCP
 	mu      sync.Mutex
 	address string
 	stop    context.CancelFunc // ends the present call
 }
 
+// pause is the wait after a failed call.
+func (w *Watcher) pause(rnd *rand.Rand) time.Duration {
+	return w.Pause/2 + time.Duration(rnd.Int64N(int64(w.Pause/2)+1))
+}
+
 // Move makes address the one to ask, from now on.
 func (w *Watcher) Move(address string) {
 	w.mu.Lock()
@@ -123,18 +133,28 @@
 func (w *Watcher) at(ctx context.Context) (context.Context, string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.stop != nil {
+		w.stop()
+	}
 	ctx, w.stop = context.WithCancel(ctx)
 	return ctx, w.address
 }
 
-// Run follows discovery until ctx ends. Every new connection begins with the whole list: changes may have been lost.
+// Late is the longest that a change may go unnoticed while discovery can be reached, whatever happens to the calls: a watch falls
+// silent as it begins, just before the change; then one connection does not come up, and the list takes all its time.
+func (w *Watcher) Late() time.Duration {
+	silent, hung, list := w.Hold+w.Answer, w.Connect+w.Pause, w.Connect+w.Answer
+	return silent + hung + list
+}
+
+// Run follows discovery until ctx ends. Every new connection begins with the whole list: changes may have been lost. A call stands
+// open at all times but for the pause after one that failed at once; one that was given up has waited enough.
 func (w *Watcher) Run(ctx context.Context) {
-	failed := false
+	failed, rnd := false, rand.New(rand.NewPCG(w.Seed, 1))
 	for ctx.Err() == nil {
 		here, address := w.at(ctx)
 		err := w.follow(here, address, func() { failed = false })
 		moved := here.Err() != nil
-		w.stop()
 		if ctx.Err() != nil {
 			return
 		}
@@ -145,17 +165,22 @@
 			w.Log("discovery does not answer; the list stays", err)
 		}
 		failed = true
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			continue
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(w.Pause):
+		case <-here.Done(): // moved
+		case <-time.After(w.pause(rnd)):
 		}
 	}
 }
 
 // follow asks at one address over one connection until that fails.
 func (w *Watcher) follow(ctx context.Context, address string, well func()) error {
-	d := net.Dialer{Timeout: w.Answer}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	up, done := context.WithTimeout(ctx, w.Connect)
+	nc, err := w.connect(up, address)
+	done()
 	if err != nil {
 		return err
 	}
@@ -188,6 +213,14 @@
 	}
 }
 
+func (w *Watcher) connect(ctx context.Context, address string) (net.Conn, error) {
+	if w.dial != nil {
+		return w.dial(ctx, address)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+
 // ask makes one call; again tells that the connection may be used for another.
 func (w *Watcher) ask(nc net.Conn, br *bufio.Reader, address, target string, wait time.Duration) (text []byte, again bool, err error) {
 	if err := nc.SetDeadline(time.Now().Add(wait)); err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,8 +68,8 @@
 	n.addr = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	watched := make(chan struct{})
-	n.watch = &discovery.Watcher{Deliver: func(u register.Update) { n.front.Deliver(u) }, Hold: watchHold, Answer: watchAnswer, Pause: watchPause, Most: listMost,
-		Log: func(msg string, err error) { log.Warn(msg, zap.Error(err)) }}
+	n.watch = &discovery.Watcher{Deliver: func(u register.Update) { n.front.Deliver(u) }, Hold: watchHold, Connect: watchConnect, Answer: watchAnswer, Pause: watchPause,
+		Most: listMost, Seed: c.Seed, Log: func(msg string, err error) { log.Warn(msg, zap.Error(err)) }}
 	n.watch.Move(c.Discovery)
 	go func() {
 		defer close(watched)
@@ -94,14 +94,8 @@
 	return n, nil
 }
 
-// Discovery's calls: a watch that waits for long is told at the latest as the platform counts, and a silent one is
-// noticed soon after.
-const (
-	watchHold   = 10 * time.Second
-	watchAnswer = 1500 * time.Millisecond
-	watchPause  = 100 * time.Millisecond
-	listMost    = 8 << 20
-)
+// listMost bounds a list, in bytes.
+const listMost = 8 << 20
 
 func options(c *Config, b Budget, way front.Way) front.Options {
 	site := c.Site
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap"
 
 	"brackenbend/choice"
+	"brackenbend/internal/node/discovery"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -638,3 +639,18 @@
 		}
 	}
 }
+
+// TestNewsOfEnginesIsTakenWithinThePlatformsTime: the calls' times, each at its worst, and what the node itself may be late.
+func TestNewsOfEnginesIsTakenWithinThePlatformsTime(t *testing.T) {
+	w := discovery.Watcher{Hold: watchHold, Connect: watchConnect, Answer: watchAnswer, Pause: watchPause}
+	if late := w.Late() + ownLate; late > told {
+		t.Errorf("a change may go unnoticed for %v, %v are allowed", late, told)
+	}
+	if watchHold < 2*time.Second {
+		t.Errorf("a watch waits %v: that is polling", watchHold)
+	}
+	const moved = 4 * time.Second // after SIGHUP
+	if late := 2*watchConnect + watchPause + watchAnswer + ownLate; late > moved {
+		t.Errorf("after a move the list may take %v", late)
+	}
+}
