Front node: ready without a list, no write for a client that left, no reset behind an answer

A node whose known list is empty, absent or of no use was not ready until discovery answered, which may be down for its first seconds: node.Start delivered only a list with engines. It now always starts with what it has.

engine.exchange and transmit looked at the handle and the server before they wrote, not at the client: where the settings let nothing be called off (Cancel false) an attempt whose connection came up late was written for a client that had gone. Call.Over is asked at each of these moments.

A final answer or a finished stream that ended its connection was followed by a close over whatever lay unread, which resets the connection and may take the answer's tail along; only answers without a flight half-closed first. client.fly does too, and reads on for half a second at most.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -73,8 +73,12 @@
 	Once     bool          // may run only once: rides on a connection of its own
 	Connect  time.Duration // for a new connection to come up; 0 = Client.DialTime
 	Deadline time.Time     // for the first token, or the whole of a read
+	// Over tells, at the moment of writing, that nobody waits for the request any more; nil = somebody does.
+	Over func() bool
 }
 
+func (c *Call) over() bool { return c.Over != nil && c.Over() }
+
 // Outcome is how an attempt ended.
 type Outcome struct {
 	Result  choice.Result
@@ -191,7 +195,7 @@
 		}
 		return nil, nil, &out
 	}
-	if a.cancelled() || !s.IsOpen() {
+	if a.cancelled() || !s.IsOpen() || call.over() {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: errShut})
 	}
 	up := call.Deadline
@@ -205,7 +209,7 @@
 	if err != nil {
 		return fail(nil, a.ended(err))
 	}
-	if !a.hold(k.Conn) || !s.IsOpen() { // called off, or told to drain while the dial was pending
+	if !a.hold(k.Conn) || !s.IsOpen() || call.over() { // called off, or told to drain while the dial was pending
 		return fail(k, Outcome{Result: choice.NotSent, Err: errShut})
 	}
 	if err := k.SetDeadline(call.Deadline); err != nil {
@@ -308,7 +312,7 @@
 		return n, errEarly
 	case !errors.Is(err, os.ErrDeadlineExceeded):
 		return n, err
-	case a.cancelled() || !s.IsOpen():
+	case a.cancelled() || !s.IsOpen() || call.over():
 		return n, errShut
 	}
 	if err := k.SetReadDeadline(call.Deadline); err != nil {
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -464,6 +464,33 @@
 	}
 }
 
+// TestNothingIsWrittenForAClientThatLeft: it leaves while the attempt waits to begin, while the connection comes up, or while the last
+// byte is held back. Nothing is written from then on, and it never ran.
+func TestNothingIsWrittenForAClientThatLeft(t *testing.T) {
+	body := []byte(`{"model":"chat"}`)
+	for looks := range 3 { // how often the attempt still finds the client there
+		got := make(chan []byte, 1)
+		s := peer(t, func(_ int, c *net.TCPConn) {
+			b, _ := io.ReadAll(c)
+			got <- b
+		})
+		c := platform(testClient())
+		c.Settle = time.Millisecond
+		n := 0
+		out := c.Write(&Attempt{}, s, Call{Path: "/v1/x", ID: "a", Once: true, Body: body, Deadline: time.Now().Add(time.Minute),
+			Over: func() bool { n++; return n > looks }}, &sink{})
+		if out.Result != choice.NotSent {
+			t.Errorf("left at look %d: %+v", looks, out)
+		}
+		if looks == 0 {
+			continue
+		}
+		if b := <-got; bytes.HasSuffix(b, body) || looks < 2 && len(b) > 0 {
+			t.Errorf("left at look %d: %q was written", looks, b)
+		}
+	}
+}
+
 // The bound over all engines is kept by closing what rested longest, wherever that is.
 func TestConnectionsToAllEnginesAreCapped(t *testing.T) {
 	answer := "HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n" + `{"kv_transfer_params":{"a":1}}`
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -375,11 +375,20 @@
 		return false
 	}
 	if fl.answer.Status == 0 { // it was a stream
+		if fl.result == "served" && (!fl.keep || c.flooded) {
+			c.linger()
+		}
 		return fl.keep && !c.flooded && fl.result != "gone" && (fl.result != "broken" || !f.CutBroken)
 	}
 	keep := fl.keep && !c.flooded && !f.parting()
 	fl.answer.id = fl.title()
-	return c.send(fl.answer, keep) == nil && keep
+	if c.send(fl.answer, keep) != nil {
+		return false
+	}
+	if !keep {
+		c.linger()
+	}
+	return keep
 }
 
 // await returns when the answer is set or the stream has ended; true: the client left before.
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -186,7 +186,7 @@
 //
 //go:noinline
 func (a *attempt) perform(l *loop) engine.Outcome {
-	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, Connect: a.connect}
+	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, Connect: a.connect, Over: a.fl.over}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,14 +52,15 @@
 	if n.front, err = front.Make(options(c, b, clients), log, obs.NewMetrics()); err != nil {
 		return nil, err
 	}
+	known := register.Update{}
 	if c.Known != nil {
-		if u, err := c.Known.Update(); err != nil {
-			log.Warn("the known list can't be used", zap.Error(err))
-		} else if len(u.Engines) > 0 {
-			u.Scope = choice.Cached
-			n.front.Deliver(u)
+		if known, err = c.Known.Update(); err != nil {
+			log.Warn("the known list can't be used; starting with none", zap.Error(err))
+			known = register.Update{}
 		}
 	}
+	known.Scope = choice.Cached
+	n.front.Deliver(known) // also when it is empty: a node that is not ready gets no clients, and discovery may be down
 	l, err := net.Listen("tcp", c.Listen)
 	if err != nil {
 		n.front.Shutdown(context.Background())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -654,3 +654,63 @@
 		t.Errorf("after a move the list may take %v", late)
 	}
 }
+
+// TestReadyWithoutAList: known may be empty, absent or of no use while discovery is down. The node is ready all the same, and what it
+// can't serve yet is answered, in time.
+func TestReadyWithoutAList(t *testing.T) {
+	for name, known := range map[string]string{"absent": "null", "empty": list(1, true),
+		"of no use": list(1, true, `{"id":"s-1","host_port":"nowhere","flavor":"decode","phase":"Ready"}`)} {
+		t.Run(name, func(t *testing.T) {
+			n, _ := start(t, setup{known: known})
+			for ready := false; !ready; {
+				resp, err := http.Get("http://" + n.Addr() + "/healthz")
+				if err != nil {
+					t.Fatal(err)
+				}
+				resp.Body.Close()
+				ready = resp.StatusCode == 200
+			}
+			http.DefaultClient.CloseIdleConnections()
+			c := dial(t, n)
+			c.send(t, message("aa01", "order", "Req-Deadline-Ms: 4800", "Req-Deadline-Ms: 300"))
+			if resp, text, whole := c.answer(t); resp.StatusCode != 429 || !whole {
+				t.Errorf("%d: %s", resp.StatusCode, text)
+			}
+		})
+	}
+}
+
+// TestAnAnswerThatEndsItsConnectionIsNotReset: bytes that nobody asked for lie unread behind a request when its answer ends the
+// connection. Closing over them would reset it, and with it what the system still held back of the answer.
+func TestAnAnswerThatEndsItsConnectionIsNotReset(t *testing.T) {
+	for _, end := range []string{"broken", "served"} {
+		asked, held := make(chan struct{}), make(chan struct{})
+		w := newStub(t, "w1", "decode", func(s *stub, rw http.ResponseWriter, q *http.Request) {
+			if end == "broken" {
+				close(asked)
+				<-held
+				panic(http.ErrAbortHandler)
+			}
+			fmt.Fprint(rw, stream[0])
+			rw.(http.Flusher).Flush()
+			close(asked)
+			<-held
+			fmt.Fprint(rw, strings.Join(stream[1:], ""))
+		})
+		n, _ := start(t, setup{}, newStub(t, "r1", "prefill", reads), w)
+		c := dial(t, n)
+		c.send(t, message("aa01", "order", "Host: backend.local", "Host: backend.local\r\nConnection: close"))
+		<-asked
+		if end == "served" { // the front has the stream; what else comes is not read any more
+			c.send(t, strings.Repeat("x", 8192))
+		}
+		close(held)
+		resp, text, whole := c.answer(t)
+		if !whole || resp.StatusCode == 200 && text != strings.Join(stream, "") {
+			t.Errorf("%s: %d, whole %v: %q", end, resp.StatusCode, whole, text)
+		}
+		if _, err := c.br.ReadByte(); err != io.EOF {
+			t.Errorf("%s: the connection ended with %v", end, err)
+		}
+	}
+}
