Module: mixed servers take what they can write and also read, less where they are late

By server and result from the fronts' logs: mixed servers got 1,801 requests, of which 847 timed out and 954 were served in 17.6 s at the median; readers 4,419, 113 timed out, 143 ms; writers 4,287, 2 timed out, 0.56 s.

At fault: placing.go, launch: the mixed servers' part of the requests was 0.6 for each against the writers alone, so that few large writers beside many readers gave them 0.47 for each read.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
 	coldPart     = 0.5                    // of its budget, the part that a cold server is sent ...
 	coldMost     = 0.7                    // ... but at most this of its even part of what it can do
-	mixedWeight  = 0.6                    // what a mixed server takes, whole requests, against a writer
+	mixedWeight  = 0.6                    // what a mixed server can write, and read, against a server of either
 	keptMax      = 20000                  // remembered prefixes and sessions a server
 
 	// Health: failures, and work done for the time that work was out, against peers of the role.
@@ -112,7 +112,11 @@
 		r.emit(Watch{})
 		r.askAt = r.now + max(r.set.AskWithin/2, time.Second)
 	}
-	r.unpark()
+	parked := r.parked
+	r.parked = nil
+	for _, q := range parked {
+		r.place(q)
+	}
 	r.dispatch()
 	r.sleep()
 	return r.out
@@ -217,6 +221,7 @@
 	if a.unread > 0 {
 		r.stale = true
 		r.paced(a, ev.Elapsed)
+		r.compare(a, a.ahead, ev.Elapsed)
 	}
 	r.hear(a, true)
 	r.learn(a.s, q, false, failGain, ev.Elapsed.Seconds() < patience*r.firstTime+0.5)
@@ -268,6 +273,7 @@
 	case Errored, Reset, Broken: // one connection may break under a server that is well
 		r.learn(s, q, true, failGain, false)
 	case TimedOut:
+		r.compare(a, a.ahead, ev.Elapsed)
 		s.slow += slowGain * (patience - s.slow)
 		r.learn(s, q, r.now < q.Due || a.at+time.Second < r.now, failGain, false)
 		if a.write {
--- a/choice/placing.go
+++ b/choice/placing.go
@@ -33,9 +33,10 @@
 	if s == nil {
 		return false
 	}
-	if mixed > 0 {
-		m := mixedWeight * mixed
-		r.mixedDebt = min(r.mixedDebt+m/(m+r.roles[Writer].well), 2)
+	if w := &r.roles[Writer]; mixed > 0 { // their part by what they can write, and read, and by how they answer
+		m := mixedWeight * min(mixed, r.roles[Mixed].memory/w.memory*w.well)
+		part := min(m/(m+w.well), mixedWeight*mixed/max(r.roles[Reader].well, 1))
+		r.mixedDebt = min(r.mixedDebt+part/max(r.mixedSlow, 1), 2)
 	}
 	r.send(q, s, false)
 	return true
@@ -204,12 +205,3 @@
 		r.parked = append(r.parked, q)
 	}
 }
-
-// unpark tries parked requests again.
-func (r *Router) unpark() {
-	waiting := r.parked
-	r.parked = nil
-	for _, q := range waiting {
-		r.place(q)
-	}
-}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -474,3 +474,48 @@
 		}
 	}
 }
+
+// TestMixedServersTakeWhatTheyCan: few large writers beside many readers, and mixed servers that hold a fifth of what a writer holds.
+// By writing they could take a third of what the writers do, but they have to read it too, as the many readers do for the rest;
+// and when their first tokens come late they take less.
+func TestMixedServersTakeWhatTheyCan(t *testing.T) {
+	for _, k := range []struct {
+		readers, writers, mixed int
+		memory, late            float64 // of a mixed server against a writer; of its first tokens against the usual
+		least, most             float64 // part of the requests that mixed servers take
+	}{
+		{40, 40, 15, 1, 1, 0.13, 0.18},    // by writing: 9 of 49, for each read
+		{75, 10, 15, 0.2, 1, 0.09, 0.12},  // by reading: 9 of 75
+		{75, 10, 15, 0.2, 3, 0.03, 0.06},  // a third of that
+		{20, 20, 15, 0.2, 1, 0.06, 0.09},  // by writing: 1.8 of 21.8
+		{75, 10, 15, 0.02, 1, 0.01, 0.03}, // likewise
+	} {
+		s := testSettings()
+		s.Kinds = []Kind{{Reader, 1e6}, {Writer, 1e6}, {Mixed, 1e6 * k.memory}}
+		servers := pool(k.readers, k.writers)
+		for i := range k.mixed {
+			servers = append(servers, Server{ID: ServerID(900 + i), Kind: 2, State: Ready})
+		}
+		g, whole, n := newRig(t, s, servers...), 0, 2000
+		for id := range RequestID(n) {
+			q := g.request(id+1, 0, 300)
+			q.Prefix, q.Session = uint64(id), uint64(id)
+			a, took := one[Send](t, g.after(20*ms, q)), 30*ms
+			if a.Server >= 900 {
+				whole++
+				if k.late > 1 && whole > 20 { // against what a reader and a writer take by the module's own means
+					took = seconds(k.late * (g.r.firstTime + g.r.readPace*500))
+				}
+				g.now += took
+				g.step(First{Request: q.ID, Server: a.Server, Elapsed: took}, Outcome{Request: q.ID, Server: a.Server, Result: Served, Over: true, Elapsed: took})
+				continue
+			}
+			b := one[Send](t, g.after(took, Outcome{Request: q.ID, Server: a.Server, Result: ReadDone, Elapsed: took}))
+			g.now += took
+			g.step(First{Request: q.ID, Attempt: 1, Server: b.Server, Elapsed: took}, Outcome{Request: q.ID, Attempt: 1, Server: b.Server, Result: Served, Over: true, Elapsed: took})
+		}
+		if part := float64(whole) / float64(n); part < k.least || part > k.most {
+			t.Errorf("%+v: mixed servers took %.3f", k, part)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -38,6 +38,7 @@
 	readPace     float64       // mean reading seconds a token, own queue included
 	firstTime    float64       // mean seconds from a writer's send to the first token
 	mixedDebt    float64       // whole requests that mixed servers have yet to take
+	mixedSlow    float64       // their mean time to the first token against that by a reader and a writer
 	released     int           // releases since the last promotion
 	wakeAt       time.Duration // the earliest wake-up asked for and not come yet; 0 = none
 	judgeAt      time.Duration // servers are judged again
@@ -68,6 +69,7 @@
 	fails        []float64 // of the listed ones, sorted
 	count        float64   // pieces that warm ones finished of late
 	quiet        int       // how many say nothing
+	memory       float64   // of those that are not put aside, tokens
 }
 
 // flow is the part of all reads that a cell or zone is taken to make, and of all answers that it can write.
@@ -365,7 +367,7 @@
 	r.mutes()
 	for i := range r.roles {
 		f := &r.roles[i]
-		*f = roleFigures{rate: f.rate, fails: f.fails[:0]}
+		*f = roleFigures{rate: f.rate, fails: f.fails[:0], memory: 1e-9}
 	}
 	for _, s := range r.servers {
 		if !s.listed {
@@ -381,6 +383,7 @@
 			f.count += s.count
 		}
 		f.well += b2f(!s.bad)
+		f.memory += b2f(!s.bad) * cmp.Or(r.set.Kinds[s.Kind].Memory, 1)
 		f.quiet += int(b2f(!s.bad && r.silent(s)))
 	}
 	r.flows()
@@ -439,6 +442,14 @@
 	}
 }
 
+// compare takes the time to a first token, or the time without one, at a mixed server against what a reader and a writer
+// would have taken by their means.
+func (r *Router) compare(a *attempt, ahead float64, took time.Duration) {
+	if a.s.role == Mixed && ahead > 0 {
+		r.mixedSlow += 0.2 * (took.Seconds()/(ahead*r.readPace+r.firstTime) - r.mixedSlow)
+	}
+}
+
 // forget drops servers that have been off the list for goneFor and hold no attempt: names that never come back,
 // as those of rolled pods, would cost memory and time for ever. One that comes back sooner keeps its past.
 func (r *Router) forget() {
