Discovery: while it is silent the list is asked for again within the drain grace

With every call logged (scratch copy, node n0): the list at 0.03, the watch given up at 3.79, then 'i/o timeout' each second, the last of a call made at 9.795 at 10.795; the one made at 10.796 was answered at once. Discovery was back at 10.33. So what is asked while it is down stays without an answer, and each node noticed the return up to a second late, all 291 in one beat. Ruled out: connections (each came up), pauses (none after a time-out).

At fault: Watcher.follow, which gave an answer a second to begin. Now first asks for the whole list on a new connection whenever no answer has begun for Begin, with up to three calls open so that a slow answer is not lost, and a watch is given up as soon as its answer has not begun by then; Begin is half of the settings' drain grace (budget.go).

--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -89,10 +89,18 @@
 	ownLate      = 500 * time.Millisecond
 	watchConnect = 250 * time.Millisecond
 	watchAnswer  = time.Second
-	watchPause   = 250 * time.Millisecond
-	watchHold    = told - ownLate - watchAnswer - (watchConnect + watchPause) - (watchConnect + watchAnswer)
+	watchPause   = 125 * time.Millisecond
+	beginMost    = 250 * time.Millisecond
+	watchHold    = told - ownLate - beginMost - (watchConnect + watchPause) - (watchConnect + 3*beginMost + watchAnswer)
 )
 
+// watchBegin is how long discovery may say nothing to a call that it owes an answer before it is asked anew. What the agent gets when
+// discovery is back counts at once, and it does not answer what it was asked before: so half of the time in which sends to
+// a server that drains have to stop.
+func (c *Config) watchBegin() time.Duration {
+	return min(max(c.Site.Choice.DrainGrace/2, 50*time.Millisecond), beginMost)
+}
+
 // limits are the front's, from the budget.
 func (b Budget) limits() config.Limits {
 	return config.Limits{Open: b.Open, Connections: b.Clients, Head: 16 << 10, Fields: 100, Body: bodyMost, Whole: bodyMost, Event: 64 << 10,
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -100,7 +100,8 @@
 	Log     func(msg string, err error)
 	Hold    time.Duration // how long a watch may wait
 	Connect time.Duration // for a connection to come up
-	Answer  time.Duration // for an answer, whole, beyond the wait
+	Begin   time.Duration // for an answer to begin, beyond the wait, until it is asked anew
+	Answer  time.Duration // for an answer that has begun to be whole
 	Pause   time.Duration // after a failed call, at most
 	Most    int64         // bytes of an answer
 	Seed    uint64        // of the pauses' draws: nodes that lost one discovery together come back spread out
@@ -140,10 +141,14 @@
 	return ctx, w.address
 }
 
+// openMost is how many first calls are open at once, each begun when the one before it said nothing for Begin: so one that takes
+// longer than that is not lost, and one that will never be answered does not stand in the way.
+const openMost = 3
+
 // Late is the longest that a change may go unnoticed while discovery can be reached, whatever happens to the calls: a watch falls
 // silent as it begins, just before the change; then one connection does not come up, and the list takes all its time.
 func (w *Watcher) Late() time.Duration {
-	silent, hung, list := w.Hold+w.Answer, w.Connect+w.Pause, w.Connect+w.Answer
+	silent, hung, list := w.Hold+w.Begin, w.Connect+w.Pause, w.Connect+openMost*w.Begin+w.Answer
 	return silent + hung + list
 }
 
@@ -176,20 +181,84 @@
 	}
 }
 
-// follow asks at one address over one connection until that fails.
-func (w *Watcher) follow(ctx context.Context, address string, well func()) error {
+// call is one connection on which the whole list was asked for.
+type call struct {
+	net.Conn
+	br   *bufio.Reader
+	live func() bool // stops the end of ctx from closing it
+	err  error
+}
+
+// first asks for the whole list and returns the connection on which an answer begins, asking again on another one whenever none
+// has for Begin: a discovery that was down does not answer what was asked before it came back.
+func (w *Watcher) first(ctx context.Context, address string) (*call, error) {
+	ctx, stop := context.WithCancel(ctx)
+	answers := make(chan *call)
+	out := 0
+	defer func() { // those that were not taken
+		stop()
+		for ; out > 0; out-- {
+			if c := <-answers; c.err == nil {
+				c.Close()
+			}
+		}
+	}()
+	var ends [openMost]context.CancelFunc
+	next := time.NewTicker(w.Begin)
+	defer next.Stop()
+	for n := 0; ; n++ {
+		if end := ends[n%openMost]; end != nil { // the oldest
+			end()
+		}
+		one, end := context.WithCancel(ctx)
+		ends[n%openMost] = end
+		out++
+		go func() { answers <- w.open(one, address) }()
+		for waits := true; waits; {
+			select {
+			case c := <-answers:
+				out--
+				if c.err == nil && c.live() {
+					return c, nil
+				}
+				if c.err != nil && out == 0 {
+					return nil, c.err
+				}
+			case <-next.C:
+				waits = false
+			}
+		}
+	}
+}
+
+// open asks for the whole list on a new connection and waits for the first byte of an answer. The end of ctx ends it.
+func (w *Watcher) open(ctx context.Context, address string) *call {
 	up, done := context.WithTimeout(ctx, w.Connect)
 	nc, err := w.connect(up, address)
 	done()
+	if err != nil {
+		return &call{err: err}
+	}
+	c := &call{Conn: nc, br: bufio.NewReaderSize(nc, 4096), live: context.AfterFunc(ctx, func() { nc.Close() })}
+	if err = w.send(c, address, "/v1/servers"); err == nil {
+		_, err = c.br.Peek(1)
+	}
+	if c.err = err; err != nil {
+		nc.Close()
+	}
+	return c
+}
+
+// follow asks at one address over one connection until that fails.
+func (w *Watcher) follow(ctx context.Context, address string, well func()) error {
+	c, err := w.first(ctx, address)
 	if err != nil {
 		return err
 	}
-	defer nc.Close()
-	defer context.AfterFunc(ctx, func() { nc.Close() })()
-	br := bufio.NewReaderSize(nc, 4096)
-	target, wait := "/v1/servers", w.Answer
+	defer c.Close()
+	defer context.AfterFunc(ctx, func() { c.Close() })()
 	for {
-		text, again, err := w.ask(nc, br, address, target, wait)
+		text, again, err := w.read(c)
 		if err != nil {
 			return err
 		}
@@ -208,8 +277,15 @@
 		if !again {
 			return errors.New("discovery: it closed the connection")
 		}
-		target = fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", l.Revision, w.Hold.Milliseconds())
-		wait = w.Hold + w.Answer
+		if err := c.SetReadDeadline(time.Now().Add(w.Hold + w.Begin)); err != nil {
+			return err
+		}
+		if err := w.send(c, address, fmt.Sprintf("/v1/servers?from=%d&hold_ms=%d", l.Revision, w.Hold.Milliseconds())); err != nil {
+			return err
+		}
+		if _, err := c.br.Peek(1); err != nil {
+			return err
+		}
 	}
 }
 
@@ -221,16 +297,22 @@
 	return d.DialContext(ctx, "tcp", address)
 }
 
-// ask makes one call; again tells that the connection may be used for another.
-func (w *Watcher) ask(nc net.Conn, br *bufio.Reader, address, target string, wait time.Duration) (text []byte, again bool, err error) {
-	if err := nc.SetDeadline(time.Now().Add(wait)); err != nil {
-		return nil, false, err
+// send writes one call.
+func (w *Watcher) send(c *call, address, target string) error {
+	if err := c.SetWriteDeadline(time.Now().Add(w.Answer)); err != nil {
+		return err
 	}
-	if _, err := nc.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\nAccept: application/json\r\n\r\n")); err != nil {
+	_, err := c.Write([]byte("GET " + target + " HTTP/1.1\r\nHost: " + address + "\r\nAccept: application/json\r\n\r\n"))
+	return err
+}
+
+// read reads an answer that has begun; again tells that the connection may be used for another call.
+func (w *Watcher) read(c *call) (text []byte, again bool, err error) {
+	if err := c.SetReadDeadline(time.Now().Add(w.Answer)); err != nil {
 		return nil, false, err
 	}
 	lim := http1.Limits{Head: 16 << 10, Fields: 100}
-	resp, err := http1.ReadResponse(br, lim)
+	resp, err := http1.ReadResponse(c.br, lim)
 	if err != nil {
 		return nil, false, err
 	}
@@ -238,7 +320,7 @@
 		return nil, false, fmt.Errorf("discovery: answered %d", resp.Status)
 	}
 	var body http1.Body
-	body.Reset(br, &resp.Message, lim)
+	body.Reset(c.br, &resp.Message, lim)
 	text, err = http1.ReadAll(&body, w.Most)
 	return text, !resp.Close, err
 }
--- a/internal/node/discovery/discovery_test.go
+++ b/internal/node/discovery/discovery_test.go
@@ -95,7 +95,7 @@
 	defer close(quit)
 	news, logs := make(chan register.Update, 100), make(chan string, 100)
 	w := &Watcher{Deliver: func(u register.Update) { news <- u }, Log: func(_ string, err error) { logs <- err.Error() }, Hold: 5 * time.Second,
-		Connect: time.Minute, Answer: 10 * time.Second, Pause: time.Millisecond, Most: 1 << 20}
+		Connect: time.Minute, Begin: time.Minute, Answer: 10 * time.Second, Pause: time.Millisecond, Most: 1 << 20}
 	w.Move(srv.Listener.Addr().String())
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan struct{})
--- a/internal/node/discovery/trouble_test.go
+++ b/internal/node/discovery/trouble_test.go
@@ -125,9 +125,9 @@
 			last := make(chan int, 100)
 			// the waits are short where a step lets them pass, and long enough for a whole list in pieces
 			w := &Watcher{Deliver: func(u register.Update) { last <- len(u.Engines) }, Log: func(string, error) {}, Hold: 10 * time.Millisecond,
-				Connect: time.Minute, Answer: time.Minute, Pause: time.Millisecond, Most: 1 << 20}
+				Connect: time.Minute, Begin: time.Minute, Answer: time.Minute, Pause: time.Millisecond, Most: 1 << 20}
 			if slices.ContainsFunc(k.want[1:], func(q string) bool { return q == "+" }) {
-				w.Answer = 500 * time.Millisecond
+				w.Begin, w.Answer = 200*time.Millisecond, 500*time.Millisecond
 			}
 			w.Move(s.l.Addr().String())
 			ctx, stop := context.WithCancel(t.Context())
@@ -155,7 +155,7 @@
 // TestAConnectionThatNeverComesUpIsGivenUp: the next one is made after a pause, and a move does not wait for either.
 func TestAConnectionThatNeverComesUpIsGivenUp(t *testing.T) {
 	dials := make(chan string, 10)
-	w := &Watcher{Deliver: func(register.Update) {}, Log: func(string, error) {}, Connect: time.Millisecond, Pause: time.Millisecond}
+	w := &Watcher{Deliver: func(register.Update) {}, Log: func(string, error) {}, Connect: time.Millisecond, Begin: time.Hour, Pause: time.Millisecond}
 	w.dial = func(ctx context.Context, address string) (net.Conn, error) {
 		dials <- address
 		<-ctx.Done()
@@ -173,7 +173,7 @@
 	stop()
 	<-done
 	for name, k := range map[string]struct{ connect, pause time.Duration }{"while connecting": {time.Hour, time.Hour}, "in a pause": {time.Millisecond, time.Hour}} {
-		w := &Watcher{Deliver: w.Deliver, Connect: k.connect, Pause: k.pause, dial: w.dial}
+		w := &Watcher{Deliver: w.Deliver, Connect: k.connect, Begin: time.Hour, Pause: k.pause, dial: w.dial}
 		paused := make(chan struct{}, 10)
 		w.Log = func(string, error) { paused <- struct{}{} }
 		for len(dials) > 0 {
@@ -217,3 +217,21 @@
 		t.Errorf("%d tenths", len(parts))
 	}
 }
+
+// TestASlowAnswerIsNotLost: the first call is answered only after the second was made, which never is.
+func TestASlowAnswerIsNotLost(t *testing.T) {
+	second := make(chan struct{})
+	s := newScript(t, func(nc net.Conn) { <-second; says(listOf(2, 41))(nc) }, func(net.Conn) { close(second) })
+	news := make(chan int, 10)
+	w := &Watcher{Deliver: func(u register.Update) { news <- len(u.Engines) }, Log: func(string, error) {}, Hold: time.Hour, Connect: time.Minute,
+		Begin: 500 * time.Millisecond, Answer: time.Minute, Pause: time.Millisecond, Most: 1 << 20}
+	w.Move(s.l.Addr().String())
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); w.Run(ctx) }()
+	if n := <-news; n != 2 {
+		t.Errorf("%d engines", n)
+	}
+	stop()
+	<-done
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,7 @@
 	n.addr = l.Addr().String()
 	ctx, cancel := context.WithCancel(context.Background())
 	watched := make(chan struct{})
-	n.watch = &discovery.Watcher{Deliver: func(u register.Update) { n.front.Deliver(u) }, Hold: watchHold, Connect: watchConnect, Answer: watchAnswer, Pause: watchPause,
+	n.watch = &discovery.Watcher{Deliver: func(u register.Update) { n.front.Deliver(u) }, Hold: watchHold, Connect: watchConnect, Begin: c.watchBegin(), Answer: watchAnswer, Pause: watchPause,
 		Most: listMost, Seed: c.Seed, Log: func(msg string, err error) { log.Warn(msg, zap.Error(err)) }}
 	n.watch.Move(c.Discovery)
 	go func() {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -642,7 +642,7 @@
 
 // TestNewsOfEnginesIsTakenWithinThePlatformsTime: the calls' times, each at its worst, and what the node itself may be late.
 func TestNewsOfEnginesIsTakenWithinThePlatformsTime(t *testing.T) {
-	w := discovery.Watcher{Hold: watchHold, Connect: watchConnect, Answer: watchAnswer, Pause: watchPause}
+	w := discovery.Watcher{Hold: watchHold, Connect: watchConnect, Begin: beginMost, Answer: watchAnswer, Pause: watchPause}
 	if late := w.Late() + ownLate; late > told {
 		t.Errorf("a change may go unnoticed for %v, %v are allowed", late, told)
 	}
@@ -650,7 +650,7 @@
 		t.Errorf("a watch waits %v: that is polling", watchHold)
 	}
 	const moved = 4 * time.Second // after SIGHUP
-	if late := 2*watchConnect + watchPause + watchAnswer + ownLate; late > moved {
+	if late := w.Late() - watchHold - beginMost + ownLate; late > moved {
 		t.Errorf("after a move the list may take %v", late)
 	}
 }
