Module: a test that what all fronts send to cold servers stays within N and chance

The standing test breaks a rule at N + 2 root N + 2 requests in TipAfter from all front nodes together.

--- /dev/null
+++ b/choice/cold_test.go
@@ -0,0 +1,92 @@
+package choice
+
+import (
+	"fmt"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+)
+
+// TestColdServersStandTheSumOfAllFronts: servers that have just started get, from all fronts together and in any window of TipAfter, no
+// more than N and what chance adds, N being what the settings allow a server of so much capacity; and they get work. Fronts share
+// nothing: some see several times the mean of the traffic, some have restarted and forgot what they sent, and a burst comes on top.
+func TestColdServersStandTheSumOfAllFronts(t *testing.T) {
+	const (
+		readers, writers = 12, 24
+		window           = 1500 * time.Millisecond // TipAfter
+		perWindow        = 120                     // requests, before the burst
+		start            = 30 * time.Second
+	)
+	for _, fronts := range []int{3, 30, 300} {
+		for name, k := range map[string]struct {
+			cold    func(i int) bool
+			forgets bool // half of the fronts
+		}{
+			"a reader":                        {func(i int) bool { return i == 3 }, false},
+			"a writer, fronts new":            {func(i int) bool { return i == 15 }, true},
+			"half of the readers":             {func(i int) bool { return i < readers/2 }, false},
+			"half of all, fronts new":         {func(i int) bool { return i%2 == 0 }, true},
+			"all readers but one":             {func(i int) bool { return i < readers-1 }, false},
+			"all writers but one, new fronts": {func(i int) bool { return i > readers }, true},
+		} {
+			t.Run(fmt.Sprintf("%d fronts, %s", fronts, name), func(t *testing.T) {
+				t.Parallel()
+				s, servers := testSettings(), pool(readers, writers)
+				f := newFleet(t, s, fronts, servers)
+				prefix := func() uint64 { return uint64(f.rnd.Intn(200)) }
+				rigs := f.rigs // a tenth of the fronts gets four times what others get
+				for i := range max(fronts/10, 1) {
+					rigs = append(rigs, f.rigs[i], f.rigs[i], f.rigs[i])
+				}
+				f.rigs = rigs
+				f.play(20*perWindow, start, prefix)
+				for i := range servers {
+					if k.cold(i) {
+						servers[i].ReadyAt = time.Minute + start
+					}
+				}
+				fresh := map[*rig]bool{}
+				for i, g := range f.rigs {
+					if k.forgets && i%2 == 1 && !fresh[g] {
+						r, err := New(func() Settings { s := s; s.Fronts = fronts; return s }(), rand.New(rand.NewSource(int64(i))).Uint64())
+						if err != nil {
+							t.Fatal(err)
+						}
+						*g = rig{t: t, r: r}
+					}
+					fresh[g] = true
+					g.now = time.Minute + start
+					g.step(ServerList{Scope: Full, Servers: servers})
+				}
+				total := 0
+				for w := range 6 {
+					f.sent = map[ServerID]int{}
+					n := perWindow
+					if w > 1 {
+						n = perWindow * 3 / 2
+					}
+					f.play2(n, start+time.Duration(w)*window, window, prefix)
+					for i, e := range servers {
+						if !k.cold(i) {
+							continue
+						}
+						total += f.sent[e.ID]
+						of := float64(readers)
+						if f.kind[e.ID] == Writer {
+							of = writers
+						}
+						present := s.ColdFrom + (1-s.ColdFrom)*float64(w)*window.Seconds()/s.ColdFor.Seconds() // at the window's start
+						limit := s.OverloadFactor * present * float64(n) / of
+						if limit += 2*math.Sqrt(limit) + 2; float64(f.sent[e.ID]) > limit {
+							t.Errorf("window %d: server %d got %d, %.0f at most", w, e.ID, f.sent[e.ID], limit)
+						}
+					}
+				}
+				if total == 0 {
+					t.Error("no work for those that have just started")
+				}
+			})
+		}
+	}
+}
