--- a/choice/choice.go
+++ b/choice/choice.go
@@ -33,7 +33,7 @@
 	outGuess     = 0.4                    // expected answer, as a part of the most it may be
 	coldPart     = 0.5                    // of its budget, the part that a cold server is sent ...
 	coldMost     = 0.7                    // ... but at most this of its even part of what it can do
-	mixedWeight  = 0.6                    // what a mixed server can write, and read, against a server of either
+	mixedWeight  = 0.6                    // what a mixed server can write or read, against others
 	keptMax      = 20000                  // remembered prefixes and sessions a server
 
 	// Health: failures, and work done for the time that work was out, against peers of the role.
