Module: the mixed servers' part stays a number where no writer is well

Found on the last read: with every writer put aside launch divided 0 by 0, and what mixed servers are owed stayed NaN for ever, so that they would never have been asked again.

--- a/choice/placing.go
+++ b/choice/placing.go
@@ -33,8 +33,8 @@
 	if s == nil {
 		return false
 	}
-	if w := &r.roles[Writer]; mixed > 0 { // their part by what they can write, and read, and by how they answer
-		m := mixedWeight * min(mixed, r.roles[Mixed].memory/w.memory*w.well)
+	if w := &r.roles[Writer]; mixed > 0 { // by what they can write and read, and how late they are
+		m := mixedWeight * min(mixed, r.roles[Mixed].memory/w.memory*max(w.well, 1e-9))
 		part := min(m/(m+w.well), mixedWeight*mixed/max(r.roles[Reader].well, 1))
 		r.mixedDebt = min(r.mixedDebt+part/max(r.mixedSlow, 1), 2)
 	}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -519,3 +519,18 @@
 		}
 	}
 }
+
+// TestMixedServersWhereNoWriterIsWell: what they are owed stays a number.
+func TestMixedServersWhereNoWriterIsWell(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2), Server{ID: 3, Kind: 2, State: Ready})
+	g.r.aside(g.r.byID[2], "test")
+	g.r.count()
+	for id := range RequestID(4) {
+		q := g.request(id+1, 0, 300)
+		q.Prefix = uint64(id)
+		g.after(20*ms, q)
+	}
+	if d := g.r.mixedDebt; !(d >= -1 && d <= 2) { // also when it is no number
+		t.Errorf("%v whole requests are owed to the mixed server", g.r.mixedDebt)
+	}
+}
