--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"brackenbend/internal/config"
+	"brackenbend/internal/node/discovery"
 )
 
 // socketsLeast is the fewest descriptors that a front node can work with.
@@ -91,7 +92,7 @@
 	watchAnswer  = time.Second
 	watchPause   = 125 * time.Millisecond
 	beginMost    = 250 * time.Millisecond
-	watchHold    = told - ownLate - beginMost - (watchConnect + watchPause) - (watchConnect + 3*beginMost + watchAnswer)
+	watchHold    = told - ownLate - beginMost - (watchConnect + watchPause) - (watchConnect + discovery.OpenMost*beginMost + watchAnswer)
 )
 
 // watchBegin is how long discovery may say nothing to a call that it owes an answer before it is asked anew. What the agent gets when
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -141,14 +141,14 @@
 	return ctx, w.address
 }
 
-// openMost is how many first calls are open at once, each begun when the one before it said nothing for Begin: so one that takes
+// OpenMost is how many first calls are open at once, each begun when the one before it said nothing for Begin: so one that takes
 // longer than that is not lost, and one that will never be answered does not stand in the way.
-const openMost = 3
+const OpenMost = 3
 
 // Late is the longest that a change may go unnoticed while discovery can be reached, whatever happens to the calls: a watch falls
 // silent as it begins, just before the change; then one connection does not come up, and the list takes all its time.
 func (w *Watcher) Late() time.Duration {
-	silent, hung, list := w.Hold+w.Begin, w.Connect+w.Pause, w.Connect+openMost*w.Begin+w.Answer
+	silent, hung, list := w.Hold+w.Begin, w.Connect+w.Pause, w.Connect+OpenMost*w.Begin+w.Answer
 	return silent + hung + list
 }
 
@@ -203,15 +203,15 @@
 			}
 		}
 	}()
-	var ends [openMost]context.CancelFunc
+	var ends [OpenMost]context.CancelFunc
 	next := time.NewTicker(w.Begin)
 	defer next.Stop()
 	for n := 0; ; n++ {
-		if end := ends[n%openMost]; end != nil { // the oldest
+		if end := ends[n%OpenMost]; end != nil { // the oldest
 			end()
 		}
 		one, end := context.WithCancel(ctx)
-		ends[n%openMost] = end
+		ends[n%OpenMost] = end
 		out++
 		go func() { answers <- w.open(one, address) }()
 		for waits := true; waits; {
