Front: nothing is lost as a stream or the front ends; keyed repeats keep their window to the last byte

Found by reading, each proved by a test that forces the crossing. A client that has a stream's last chunk may ask again before the write of that chunk has returned: await took that for pipelining and the request was thrown away (TestARequestAtTheEndOfAStream). A request read after Ending was begun, or its connection closed over it (TestARequestReadAsTheFrontEnds, TestNothingBeginsOnceTheFrontEnds). The window of a keyed repeat was checked as it was decided, not as it was sent: Send carries it now and the engine client holds it at the last byte (TestARepeatIsNotSentPastItsWindow, TestARepeatCarriesItsWindow). A connection ends in one place, half-closed and drained. The recorded orders' digests are unchanged.

--- a/choice/admission.go
+++ b/choice/admission.go
@@ -28,7 +28,7 @@
 	r.seeKey(q)
 	r.reqs[ev.ID] = q
 	r.hold(q)
-	q.shed = draw(r.salt+2, uint64(q.ID)) < r.shed*r.lack(q)
+	q.shed = r.ending || draw(r.salt+2, uint64(q.ID)) < r.shed*r.lack(q)
 }
 
 // lack is how many times more readily than others q is refused: by how far its worth for the work that it
--- a/choice/api.go
+++ b/choice/api.go
@@ -272,6 +272,9 @@
 		Timeout time.Duration // 0 = until Due
 		// Connect is how long a connection may take to come up, since a state waits meanwhile; 0 = as long as ever.
 		Connect time.Duration
+		// Window is how long the request's last byte may take to leave: an earlier attempt of a keyed request may have run,
+		// and repeats of it are known as such only inside the class's window. 0 = no such bound.
+		Window time.Duration
 	}
 	// Refuse is a final answer: not now, trying again after Wait is harmless.
 	Refuse struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -149,6 +149,7 @@
 	case Outcome:
 		r.outcome(ev)
 	case Ending:
+		r.ending = true // what still comes is refused too
 		for _, id := range slices.Sorted(maps.Keys(r.reqs)) {
 			if q := r.reqs[id]; !q.ended && !q.started {
 				r.finish(q, r.no(q, 0))
@@ -183,7 +184,7 @@
 	q.out++
 	q.read = q.read || !write
 	connect := r.set.ReleaseWithin / connects * time.Duration(b2f(q.reader != nil))
-	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a), Connect: connect})
+	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a), Connect: connect, Window: q.window(r.now)})
 }
 
 // timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves. Another
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -601,3 +601,37 @@
 		t.Errorf("with one attempt left sent to %d, want the other writer, which reads by itself", s.Server)
 	}
 }
+
+// TestARepeatCarriesItsWindow: the further send of a keyed request of which an attempt may have run has to be written before the
+// window after that attempt's send has passed; other sends are not bound.
+func TestARepeatCarriesItsWindow(t *testing.T) {
+	for class, window := range []time.Duration{0, 0, 1500 * ms} {
+		g := newRig(t, testSettings(), reader(1), writer(2), writer(3))
+		if s := one[Send](t, g.step(g.request(1, class, 1000))); s.Window != 0 {
+			t.Errorf("class %d: a read within %v", class, s.Window)
+		}
+		w := one[Send](t, g.after(100*ms, Outcome{Request: 1, Server: 1, Result: ReadDone, Elapsed: 100 * ms}))
+		if w.Window != 0 {
+			t.Errorf("class %d: the first attempt within %v", class, w.Window)
+		}
+		acts := g.after(500*ms, Outcome{Request: 1, Attempt: 1, Server: w.Server, Result: Reset})
+		if class == 1 {
+			one[Fail](t, acts)
+		} else if again := one[Send](t, acts); again.Window != window {
+			t.Errorf("class %d: the repeat within %v, want %v", class, again.Window, window)
+		}
+	}
+}
+
+// TestNothingBeginsOnceTheFrontEnds: a request may be read in the moment in which the front ends.
+func TestNothingBeginsOnceTheFrontEnds(t *testing.T) {
+	g := newRig(t, testSettings(), reader(1), writer(2))
+	one[Send](t, g.step(g.request(1, 1, 1000)))
+	one[Refuse](t, g.step(Ending{}))
+	for id := RequestID(2); id < 40; id++ {
+		acts := g.step(g.request(id, 1, 1000))
+		if r := one[Refuse](t, acts); r.Request != id || len(pick[Send](acts)) > 0 {
+			t.Errorf("%+v", acts)
+		}
+	}
+}
--- a/choice/order_test.go
+++ b/choice/order_test.go
@@ -127,6 +127,8 @@
 				fmt.Fprintf(h, "%d %T {Request:%v Wait:%v}\n", now, a, a.Request, a.Wait)
 			case Fail:
 				fmt.Fprintf(h, "%d %T {Request:%v}\n", now, a, a.Request)
+			case Send: // as it was before Window, which TestARepeatCarriesItsWindow holds
+				fmt.Fprintf(h, "%d %T {Request:%v Server:%v Timeout:%v Connect:%v}\n", now, a, a.Request, a.Server, a.Timeout, a.Connect)
 			default:
 				fmt.Fprintf(h, "%d %T %+v\n", now, a, a)
 			}
--- a/choice/placing.go
+++ b/choice/placing.go
@@ -178,7 +178,7 @@
 	if !q.ran || q.class.Effect == Safe {
 		return true
 	}
-	if q.class.Effect == Unsafe || r.now-q.ranAt >= q.class.Window {
+	if q.class.Effect == Unsafe || q.window(r.now) <= 0 {
 		return false
 	}
 	switch q.class.Group {
--- a/choice/state.go
+++ b/choice/state.go
@@ -52,6 +52,7 @@
 	keysAll      float64
 	fadeAt       time.Duration
 	askAt        time.Duration
+	ending       bool // the front ends
 }
 
 // bounds are what room there is at most, whatever the request.
@@ -159,6 +160,14 @@
 	askedAt uint64        // ... in this shape; 0 = never
 }
 
+// window is how long a keyed request of which an attempt may have run may still be sent; 0 where nothing bounds that.
+func (q *request) window(now time.Duration) time.Duration {
+	if !q.ran || q.class.Effect != Keyed {
+		return 0
+	}
+	return q.ranAt + q.class.Window - now
+}
+
 // ranked is a server in the hash order of a prefix.
 type ranked struct {
 	s    *server
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -73,11 +73,24 @@
 	Once     bool          // may run only once: rides on a connection of its own
 	Connect  time.Duration // for a new connection to come up; 0 = Client.DialTime
 	Deadline time.Time     // for the first token, or the whole of a read
+	SendBy   time.Time     // for the last byte to be written; zero = no bound but Deadline
 	// Over tells, at the moment of writing, that nobody waits for the request any more; nil = somebody does.
 	Over func() bool
 }
 
-func (c *Call) over() bool { return c.Over != nil && c.Over() }
+// over tells that the request must not be sent any more.
+func (c *Call) over() bool { return c.Over != nil && c.Over() || c.late() }
+
+// late tells that the time to send the request has passed.
+func (c *Call) late() bool { return !c.SendBy.IsZero() && !time.Now().Before(c.SendBy) }
+
+// sendBy is when the request has to be written.
+func (c *Call) sendBy() time.Time {
+	if c.SendBy.IsZero() || c.SendBy.After(c.Deadline) && !c.Deadline.IsZero() {
+		return c.Deadline
+	}
+	return c.SendBy
+}
 
 // Outcome is how an attempt ended.
 type Outcome struct {
@@ -193,12 +206,15 @@
 			a.drop()
 			c.give(s, k, false)
 		}
+		if out.Result.NeverRan() && call.late() { // the server is not to blame
+			out.Result = choice.NotSent
+		}
 		return nil, nil, &out
 	}
 	if a.cancelled() || !s.IsOpen() || call.over() {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: errShut})
 	}
-	up := call.Deadline
+	up := call.sendBy()
 	if call.Connect > 0 {
 		up = soon(call.Connect, up)
 	}
@@ -212,7 +228,10 @@
 	if !a.hold(k.Conn) || !s.IsOpen() || call.over() { // called off, or told to drain while the dial was pending
 		return fail(k, Outcome{Result: choice.NotSent, Err: errShut})
 	}
-	if err := k.SetDeadline(call.Deadline); err != nil {
+	if err := k.SetReadDeadline(call.Deadline); err != nil {
+		return fail(k, a.ended(err))
+	}
+	if err := k.SetWriteDeadline(call.sendBy()); err != nil {
 		return fail(k, a.ended(err))
 	}
 	a.up = true
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -30,6 +31,9 @@
 	used      bool         // a request came; under f.mu
 	made      time.Time
 	flooded   bool // sent more while a request was open; by its goroutine
+	answered  bool // something was written on it; by whoever writes
+	deadline  sync.Mutex
+	cut       bool // reads end at once, for good; under deadline
 	fl        atomic.Pointer[flight]
 	sent      time.Time // when the write deadline was last set; by whoever writes
 }
@@ -60,7 +64,7 @@
 func (c *client) kick() { _ = c.nc.SetReadDeadline(past) }
 
 // streams lets the wait go on for as long as the stream does; a whole answer has until last.
-func (c *client) streams(last time.Time) { _ = c.nc.SetReadDeadline(last) }
+func (c *client) streams(last time.Time) { _ = c.setReadDeadline(last) }
 
 func (c *client) kickIfIdle() {
 	if c.idleSince.Load() > 0 {
@@ -68,26 +72,33 @@
 	}
 }
 
-// cutShort fails what the connection waits for: the front ends.
+// cutShort ends what the connection does: the front ends, and the module has been told so. A stream is broken off. All else
+// is left to the connection's goroutine, whose reads end at once: a request that is whole is refused by the module, half
+// of one is answered with an error, and an idle connection is closed.
 func (c *client) cutShort() {
-	if fl := c.fl.Load(); fl != nil {
-		if fl.parts.Load() { // its answer comes in a moment
-			return
-		}
-		if fl.finish(failure(fl)) {
-			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
-			return
-		}
-		if fl.state.Load() != streaming {
-			return
-		}
+	c.deadline.Lock()
+	c.cut = true
+	_ = c.nc.SetReadDeadline(past)
+	c.deadline.Unlock()
+	if fl := c.fl.Load(); fl != nil && fl.state.Load() == streaming {
+		c.nc.Close()
 	}
-	c.nc.Close()
+}
+
+// setReadDeadline bounds the reads that follow. Those of a connection that was cut short end at once.
+func (c *client) setReadDeadline(at time.Time) error {
+	c.deadline.Lock()
+	defer c.deadline.Unlock()
+	if c.cut {
+		at = past
+	}
+	return c.nc.SetReadDeadline(at)
 }
 
 // write writes within the time that a client may take nothing, or an eighth less: the deadline is not set anew
 // for every token.
 func (c *client) write(b []byte) error {
+	c.answered = true
 	stall := c.f.Limits.StallTime
 	if now := time.Now(); now.Sub(c.sent) > stall/8 {
 		if err := c.nc.SetWriteDeadline(now.Add(stall)); err != nil {
@@ -99,8 +110,9 @@
 	return err
 }
 
+// serve answers requests one after another and then ends the connection; no other place does, but evict and cutShort.
 func (c *client) serve() {
-	defer c.nc.Close()
+	defer c.end()
 	for {
 		req, err := c.next()
 		if err != nil {
@@ -113,10 +125,28 @@
 	}
 }
 
+// end closes the connection. Closing over unread bytes resets a connection, and a reset takes with it what the system still
+// holds of an answer. So once something was answered, or the front ends, the sending side is closed first, and what the
+// client still sends is read and dropped, up to a bound in bytes and time.
+func (c *client) end() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if ok && (c.answered || c.f.draining.Load()) && half.CloseWrite() == nil {
+		_ = c.nc.SetReadDeadline(time.Now().Add(drainTime))
+		_, _ = io.CopyN(io.Discard, c.nc, drainBytes)
+	}
+	c.nc.Close()
+}
+
+// The bounds on what is read from a client after the sending side was closed.
+const (
+	drainTime  = 500 * time.Millisecond
+	drainBytes = 1 << 20
+)
+
 // next waits for a request and reads its head.
 func (c *client) next() (*http1.Request, error) {
 	l := c.f.Limits
-	if err := c.nc.SetReadDeadline(c.within(l.IdleTime)); err != nil {
+	if err := c.setReadDeadline(c.within(l.IdleTime)); err != nil {
 		return nil, err
 	}
 	c.idleSince.Store(time.Now().UnixNano())
@@ -127,14 +157,14 @@
 	if !c.resume() {
 		return nil, io.EOF
 	}
-	if c.f.draining.Load() && c.nc.SetReadDeadline(c.f.look()) == nil {
+	if c.f.draining.Load() && c.setReadDeadline(c.f.look()) == nil {
 		_, err = c.br.Peek(1)
 	}
 	if err != nil {
 		return nil, io.EOF
 	}
 	if !http1.HeadBuffered(c.br) {
-		if err := c.nc.SetReadDeadline(c.within(l.HeadTime)); err != nil {
+		if err := c.setReadDeadline(c.within(l.HeadTime)); err != nil {
 			return nil, err
 		}
 	}
@@ -162,19 +192,7 @@
 	}
 	c.f.m.Turned.WithLabelValues("malformed").Inc()
 	a := &api.Error{Status: e.Status, Type: "invalid_request_error", Code: "malformed", Message: e.Reason}
-	if c.send(Answer{Status: e.Status, Body: a.JSON()}, false) == nil {
-		c.linger()
-	}
-}
-
-// linger takes what is still on its way for a moment: closing at once would reset the connection and the
-// answer might be lost.
-func (c *client) linger() {
-	if t, ok := c.nc.(*net.TCPConn); ok {
-		_ = t.CloseWrite()
-	}
-	_ = c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
-	_, _ = io.CopyN(io.Discard, c.nc, 1<<20)
+	_ = c.send(Answer{Status: e.Status, Body: a.JSON()}, false)
 }
 
 // send writes an answer that is not a stream.
@@ -225,13 +243,7 @@
 // simple answers without a flight. A body that was not read ends the connection.
 func (c *client) simple(req *http1.Request, body *http1.Body, a Answer) bool {
 	keep := !req.Close && body.Done() && !c.f.parting()
-	if c.send(a, keep) != nil {
-		return false
-	}
-	if !keep {
-		c.linger()
-	}
-	return keep
+	return c.send(a, keep) == nil && keep
 }
 
 // turn refuses a request before it is taken.
@@ -272,7 +284,7 @@
 		}
 	}
 	if req.Chunked || req.Length > int64(c.br.Buffered()) {
-		if c.nc.SetReadDeadline(c.within(f.Limits.BodyTime)) != nil {
+		if c.setReadDeadline(c.within(f.Limits.BodyTime)) != nil {
 			return false
 		}
 	}
@@ -360,7 +372,7 @@
 func (c *client) fly(fl *flight) bool {
 	f := c.f
 	backstop := fl.due.Add(f.Margin / 2)
-	if c.nc.SetReadDeadline(backstop) != nil {
+	if c.setReadDeadline(backstop) != nil {
 		return false
 	}
 	c.fl.Store(fl)
@@ -375,20 +387,11 @@
 		return false
 	}
 	if fl.answer.Status == 0 { // it was a stream
-		if fl.result == "served" && (!fl.keep || c.flooded) {
-			c.linger()
-		}
 		return fl.keep && !c.flooded && fl.result != "gone" && (fl.result != "broken" || !f.CutBroken)
 	}
 	keep := fl.keep && !c.flooded && !f.parting()
 	fl.answer.id = fl.title()
-	if c.send(fl.answer, keep) != nil {
-		return false
-	}
-	if !keep {
-		c.linger()
-	}
-	return keep
+	return c.send(fl.answer, keep) == nil && keep
 }
 
 // await returns when the answer is set or the stream has ended; true: the client left before.
@@ -396,6 +399,9 @@
 	for {
 		_, err := c.br.Peek(1)
 		switch {
+		case err == nil && fl.over(): // the whole answer may be with the client already: this is its next request
+			<-fl.done
+			return false
 		case err == nil && c.f.OneByOne: // no client that waits for its answer sends this
 			if fl.finish(Answer{Status: oneByOne.Status, Body: oneByOne.JSON()}) {
 				fl.keep = false
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -155,6 +155,7 @@
 	id       string
 	kv       json.RawMessage
 	limit    time.Time
+	sendBy   time.Time // zero = no bound but limit
 	connect  time.Duration
 	handle   engine.Attempt
 	began    time.Time
@@ -186,7 +187,7 @@
 //
 //go:noinline
 func (a *attempt) perform(l *loop) engine.Outcome {
-	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, Connect: a.connect, Over: a.fl.over}
+	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Over: a.fl.over}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
@@ -255,9 +256,11 @@
 	return true
 }
 
-// endStream writes the end of a stream, a break told inside it, and gives the connection back.
+// endStream writes the end of a stream, a break told inside it, and gives the connection back. The request is over before the
+// last chunk goes out: a client that has it may send its next request at once.
 func (a *attempt) endStream(out *engine.Outcome) {
 	fl := a.fl
+	fl.state.CompareAndSwap(streaming, answered)
 	fl.result = "served"
 	a.takeFrame()
 	b := a.out // with the head, where no event followed it
@@ -282,7 +285,6 @@
 	}
 	a.out = b
 	a.dropFrame()
-	fl.state.CompareAndSwap(streaming, answered)
 	fl.to.kick()
 	close(fl.done)
 }
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -51,6 +51,7 @@
 	byID    map[choice.ServerID]*listed
 	places  map[string]int // numbers of the zones and cells of known servers; a number never comes again
 	placed  int            // numbers given
+	stepped time.Time      // when the module was last asked: the times in its actions count from then
 	touched []*flight      // that this round may have ended
 	sweep   bool           // a list came in this round
 	ending  bool
@@ -140,7 +141,9 @@
 				events = append(events, ev)
 			}
 		}
-		for _, a := range l.router.Step(l.now(), events) {
+		now := l.now()
+		l.stepped = l.start.Add(now - epoch)
+		for _, a := range l.router.Step(now, events) {
 			if bend := l.f.seam.Action; bend != nil {
 				for _, b := range bend(a) {
 					l.act(b)
@@ -281,7 +284,10 @@
 	}
 	att.limit = fl.due
 	if a.Timeout > 0 {
-		att.limit = minTime(att.limit, time.Now().Add(a.Timeout))
+		att.limit = minTime(att.limit, l.stepped.Add(a.Timeout))
+	}
+	if a.Window > 0 {
+		att.sendBy = l.stepped.Add(a.Window)
 	}
 	if att.write {
 		att.kv = fl.kv
