--- a/internal/node/dialect/dialect.go
+++ b/internal/node/dialect/dialect.go
@@ -88,7 +88,7 @@
 	h, once := req.Header, map[string]string{}
 	for _, f := range h {
 		name := strings.ToLower(f.Name)
-		if !strings.HasPrefix(name, "req-") {
+		if !strings.HasPrefix(name, "req-") && name != strings.ToLower(engine.FieldKey) {
 			continue
 		}
 		if _, twice := once[name]; twice {
@@ -98,7 +98,7 @@
 	}
 	get := func(name string) string { return once[strings.ToLower(name)] }
 
-	t := &front.Taken{ID: get(fieldID), Path: req.Target, Prompt: prompt(body)}
+	t := &front.Taken{ID: get(fieldID), Path: req.Target, Key: get(engine.FieldKey), Prompt: prompt(body)}
 	if !plainID(t.ID) {
 		return nil, invalid(400, "%s must be 1 to %d letters, digits, dots, dashes and underscores", fieldID, idMost)
 	}
@@ -208,6 +208,9 @@
 	b = http1.AppendField(b, "Content-Type", "application/json")
 	b = http1.AppendField(b, "Content-Length", strconv.Itoa(len(call.Body)))
 	b = http1.AppendField(b, fieldID, call.ID)
+	if call.Key != "" { // engines know repeats of a request by it
+		b = http1.AppendField(b, engine.FieldKey, call.Key)
+	}
 	return http1.AppendField(b, fieldDeadline, strconv.FormatInt(max(time.Until(call.Deadline).Milliseconds(), 1), 10))
 }
 
--- a/internal/node/dialect/dialect_test.go
+++ b/internal/node/dialect/dialect_test.go
@@ -32,6 +32,7 @@
 Req-Key: 7f3a9c21e0b4d655
 Req-Deadline-Ms: 4800
 Req-Retry: 1
+Idempotency-Key: fad03ed3-01
 Req-Extra: prefix=5c0f6e1a2b3d4c59,prompt_len=5120,prefix_len=2048,max_out=800`
 	body = `{"model":"chat","stream":true}`
 )
@@ -43,7 +44,7 @@
 	}
 	want := choice.Request{Class: 1, Tenant: 1, Session: hash("7f3a9c21e0b4d655"), Prefix: hash("5c0f6e1a2b3d4c59"), PromptLen: 5120, PrefixLen: 2048,
 		MaxOut: 800, Repeat: true}
-	if got.Event != want || got.ID != "9b1f03aa5c7e2d41" || got.Wait != 4800*time.Millisecond || got.Path != "/v1/chat/completions?x=1" {
+	if got.Event != want || got.ID != "9b1f03aa5c7e2d41" || got.Wait != 4800*time.Millisecond || got.Path != "/v1/chat/completions?x=1" || got.Key != "fad03ed3-01" {
 		t.Errorf("taken %+v", got)
 	}
 	if string(got.Prompt.ReadBody()) != body || string(got.Prompt.WriteBody(nil, false)) != body {
@@ -61,6 +62,7 @@
 		"id with a slash":     {"9b1f03aa5c7e2d41", "../state"},
 		"endless id":          {"9b1f03aa5c7e2d41", strings.Repeat("9", 200)},
 		"two ids":             {"Req-Id:", "Req-Id: 1\nReq-Id:"},
+		"two repeat keys":     {"Idempotency-Key:", "idempotency-key: 1\nIdempotency-Key:"},
 		"unknown class":       {"order", "ordre"},
 		"no class":            {"Req-Kind: order\n", ""},
 		"unknown tenant":      {"Owner: b", "Owner: c"},
@@ -198,6 +200,10 @@
 			t.Errorf("%q lacks %q", head, want)
 		}
 	}
+	keyed := string(Engines{}.Head(nil, s, &engine.Call{ID: "abc", Key: "fad03ed3-01"}))
+	if !strings.Contains(keyed, "\r\nIdempotency-Key: fad03ed3-01\r\n") || strings.Contains(head, "Idempotency-Key") {
+		t.Errorf("with a key %q, without one %q", keyed, head)
+	}
 	if got := string(Engines{}.Release(s, "abc")); got != "DELETE /state/abc HTTP/1.1\r\nHost: 10.0.0.1:8000\r\n\r\n" {
 		t.Errorf("release %q", got)
 	}
