Front: releases pass lost engines by, and an unclear read is released before its request waits

Now the next engine is asked after a tenth of the release time without an answer, holders first, then who answered last. Beside it, from reading: a read whose connection broke may have left a state, and its request could wait for a reader for longer than the release time with no attempt out; it is released then, and the next attempt waits for that. Both tests fail without the change.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -257,6 +257,7 @@
 	if err != nil {
 		return fail(k, a.ended(err))
 	}
+	s.lastAnswer.Store(time.Now().UnixNano())
 	return k, resp, nil
 }
 
@@ -541,32 +542,35 @@
 // Releases tells that engines are told to let go of state.
 func (c *Client) Releases() bool { return c.Dialect.Release(&Server{}, "") != nil }
 
-// Release lets go of what id holds at s, trying while there is time. Without such a call in the dialect it does
-// nothing: engines let go by their own time-out.
-func (c *Client) Release(s *Server, id string, deadline time.Time) error {
+// Release lets go of what id holds at s, trying while there is time and a was not cancelled. Without such a call in the dialect
+// it does nothing: engines let go by their own time-out.
+func (c *Client) Release(a *Attempt, s *Server, id string, deadline time.Time) error {
 	message := c.Dialect.Release(s, id)
 	if message == nil {
 		return nil
 	}
 	var last error
 	for try := range 3 { // letting go twice is harmless
-		if try > 0 && time.Until(deadline) <= 0 {
+		if try > 0 && (time.Until(deadline) <= 0 || a.cancelled()) {
 			break
 		}
-		if last = c.release(s, message, deadline); last == nil {
+		if last = c.release(a, s, message, deadline); last == nil {
 			return nil
 		}
 	}
 	return last
 }
 
-func (c *Client) release(s *Server, message []byte, deadline time.Time) error {
-	k, err := c.take(nil, s, false, deadline)
+func (c *Client) release(a *Attempt, s *Server, message []byte, deadline time.Time) error {
+	k, err := c.take(a, s, false, deadline)
 	if err != nil {
 		return err
 	}
 	clean := false
-	defer func() { c.give(s, k, clean) }()
+	defer func() { c.give(s, k, a.drop() && clean) }()
+	if !a.hold(k.Conn) {
+		return errShut
+	}
 	if err := k.SetDeadline(deadline); err != nil {
 		return err
 	}
@@ -577,6 +581,7 @@
 	if err != nil {
 		return err
 	}
+	s.lastAnswer.Store(time.Now().UnixNano())
 	var b http1.Body
 	b.Reset(k.br, &resp.Message, c.Limits)
 	_, err = http1.ReadAll(&b, c.Reply)
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -23,6 +23,8 @@
 
 	closed atomic.Bool // told to drain or gone: nothing new
 
+	lastAnswer atomic.Int64 // when it last answered anything, as Unix time in nanoseconds; 0 = never
+
 	mu    sync.Mutex
 	idle  []*conn // the oldest first
 	total int
@@ -42,6 +44,9 @@
 // IsOpen tells whether new work may go to the server.
 func (s *Server) IsOpen() bool { return !s.closed.Load() }
 
+// LastAnswer is when the server last answered anything, as Unix time in nanoseconds; 0 = never.
+func (s *Server) LastAnswer() int64 { return s.lastAnswer.Load() }
+
 // Forget closes idle connections, as after a restart of the process behind the address.
 func (s *Server) Forget() { s.retire(func(*conn) bool { return true }) }
 
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -60,6 +60,8 @@
 	kv    json.RawMessage
 	after *Answer // set once out is 0: see refuse
 	holds bool    // the module wants what it may hold let go
+	// releasing is closed once what an attempt may have left was released; the next one waits for it. nil: nothing is.
+	releasing <-chan struct{}
 }
 
 // Answer is what a client gets that is not a stream.
@@ -160,10 +162,11 @@
 	handle   engine.Attempt
 	began    time.Time
 	ended    chan struct{}
-	unsent   bool // set before ended is closed: the engine never ran it
-	unclear  bool // so is this: it may have left a state that nobody was told of
-	released bool // by the loop
-	owns     bool // the client's answer; set by Begin
+	after    <-chan struct{} // it begins once this is closed; nil = at once
+	unsent   bool            // set before ended is closed: the engine never ran it
+	unclear  bool            // so is this: it may have left a state that nobody was told of
+	released bool            // by the loop
+	owns     bool            // the client's answer; set by Begin
 	post     func(item)
 	out      []byte // the frame being written, in frameBuf
 	frameBuf *[]byte
@@ -187,6 +190,9 @@
 //
 //go:noinline
 func (a *attempt) perform(l *loop) engine.Outcome {
+	if a.after != nil {
+		<-a.after
+	}
 	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Over: a.fl.over}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -153,10 +153,15 @@
 			l.act(a)
 		}
 		for _, fl := range l.touched {
-			if fl.out == 0 && fl.over() && l.flights[fl.id] == fl {
-				l.clear(fl)
-				delete(l.flights, fl.id)
+			if fl.out > 0 || l.flights[fl.id] != fl {
+				continue
+			}
+			if !fl.over() {
+				l.releaseUnclear(fl)
+				continue
 			}
+			l.releaseAll(fl)
+			delete(l.flights, fl.id)
 		}
 		if l.sweep {
 			l.forget()
@@ -278,7 +283,7 @@
 		return
 	}
 	n := len(fl.attempts)
-	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{})}
+	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{}), after: fl.releasing}
 	if att.id == "" {
 		att.id = l.f.wideID(fl.id, n)
 	}
@@ -334,83 +339,6 @@
 	return a
 }
 
-// release lets go of what reads of fl left at readers. Each is told once its attempt has ended, so that the
-// word can't overtake the read; letting go twice is harmless.
-func (l *loop) release(fl *flight) {
-	if !l.lets {
-		return
-	}
-	if fl.holds = true; l.client.ByRequest {
-		return // once, when no attempt is out
-	}
-	for _, att := range fl.attempts {
-		if att.write || att.released {
-			continue
-		}
-		att.released = true
-		l.work.Add(1)
-		go func() {
-			defer l.work.Done()
-			<-att.ended
-			att.letGo(l)
-		}()
-	}
-}
-
-// clear lets go of what a flight that ends may have left anywhere, where that goes by its id: the module asked for it,
-// or a read of which nobody knows how it ended came before the one that was written from.
-func (l *loop) clear(fl *flight) {
-	if !l.client.ByRequest || !l.lets {
-		return
-	}
-	var at []*engine.Server // holders first: the word must reach a process that runs
-	for i := len(fl.attempts) - 1; i >= 0; i-- {
-		if a := fl.attempts[i]; !a.write && !a.unsent {
-			fl.holds = fl.holds || a.unclear
-			at = append(at, a.srv)
-		}
-	}
-	if !fl.holds || len(at) == 0 {
-		return
-	}
-	for _, s := range l.byID {
-		if len(at) >= clearMost {
-			break
-		}
-		if s.srv.IsOpen() && !slices.Contains(at, s.srv) {
-			at = append(at, s.srv)
-		}
-	}
-	l.work.Add(1)
-	go func() {
-		defer l.work.Done()
-		l.letGo(fl.name, at)
-	}()
-}
-
-// clearMost is at how many engines it is tried to let go of what a request holds.
-const clearMost = 4
-
-// letGo tells one of the engines to let go of what id holds; those that can't be reached are passed over.
-func (l *loop) letGo(id string, at []*engine.Server) {
-	result, deadline := "done", time.Now().Add(l.releaseTime())
-	for i, s := range at {
-		until := time.Now().Add(l.releaseTime() / time.Duration(min(len(at), 3)))
-		if i == len(at)-1 || deadline.Before(until) {
-			until = deadline
-		}
-		err := l.client.Release(s, id, until)
-		if err == nil {
-			break
-		}
-		if i == len(at)-1 {
-			result = "failed"
-			l.f.log.Warn("read state not let go", zap.String("engine", s.Name), zap.String("request", id), zap.Error(err))
-		}
-	}
-	l.f.m.Releases.WithLabelValues(result).Inc()
-}
-
 // sweepIdle closes connections to engines that have rested for long.
 func (l *loop) sweepIdle() {
 	t := time.NewTicker(time.Second)
@@ -425,13 +353,6 @@
 	}
 }
 
-func (l *loop) releaseTime() time.Duration {
-	if d := l.f.Choice.ReleaseWithin; d > 0 {
-		return d
-	}
-	return 300 * time.Millisecond // choice.Settings.ReleaseWithin's own default
-}
-
 // list turns an update into the module's terms. Servers that drain or are gone are shut before the module hears
 // of them, so that what it decided a moment ago is not sent either.
 func (l *loop) list(u *register.Update) choice.Event {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -35,6 +35,7 @@
 	calls      []string // method and request id, as they came
 	changed    chan struct{}
 	answer     func(s *stub, w http.ResponseWriter, r *http.Request)
+	released   func(r *http.Request) // nil = nothing is done before a release is answered
 }
 
 func newStub(t *testing.T, id, flavor string, answer func(*stub, http.ResponseWriter, *http.Request)) *stub {
@@ -52,6 +53,9 @@
 		s.mu.Unlock()
 		s.changed <- struct{}{}
 		if r.Method == "DELETE" {
+			if s.released != nil {
+				s.released(r)
+			}
 			w.WriteHeader(204)
 			return
 		}
@@ -155,6 +159,7 @@
 	known, discovery string
 	sockets          int
 	deadline         time.Duration // the longest, by which the node's end goes; 0 = 1 s
+	change           []string      // pairs that are replaced in the settings
 }
 
 func (s setup) write(t *testing.T, file string) {
@@ -166,6 +171,7 @@
 		s.sockets = 256
 	}
 	settings := strings.ReplaceAll(settings, "DEADLINE", fmt.Sprint(cmp.Or(s.deadline, time.Second).Microseconds()))
+	settings = strings.NewReplacer(s.change...).Replace(settings)
 	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964",
 "limits":{"cores":0.5,"memory_mb":64,"sockets":%d},"known":%s,"settings":%s}`, s.discovery, s.sockets, s.known, settings)
 	if err := os.WriteFile(file+".new", []byte(text), 0o600); err != nil {
--- /dev/null
+++ b/internal/node/release_test.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+)
+
+// barrier lets calls through once enough of them are open at one time.
+type barrier struct {
+	mu      sync.Mutex
+	open    int
+	want    int
+	full    chan struct{} // closed once so many are open
+	givenUp chan struct{} // one for each that ended before
+}
+
+// enter waits for the others, or for the end of the call.
+func (b *barrier) enter(r *http.Request) {
+	b.mu.Lock()
+	if b.open++; b.open == b.want {
+		close(b.full)
+	}
+	b.mu.Unlock()
+	select {
+	case <-b.full:
+	case <-r.Context().Done():
+		b.mu.Lock()
+		b.open--
+		b.mu.Unlock()
+		b.givenUp <- struct{}{}
+	}
+}
+
+// TestLostEnginesDoNotHoldUpARelease: the reader that holds a state and two other engines do not answer a release. The next one is
+// asked while the calls to them are still open, not after each one's time-out.
+func TestLostEnginesDoNotHoldUpARelease(t *testing.T) {
+	b := &barrier{want: 4, full: make(chan struct{}), givenUp: make(chan struct{}, 100)}
+	begun := make(chan struct{})
+	engines := []*stub{newStub(t, "r1", "prefill", reads)}
+	for _, id := range []string{"w1", "w2", "w3"} {
+		engines = append(engines, newStub(t, id, "decode", func(_ *stub, _ http.ResponseWriter, q *http.Request) {
+			close(begun)
+			<-q.Context().Done()
+		}))
+	}
+	for _, e := range engines {
+		e.released = b.enter
+	}
+	n, _ := start(t, setup{}, engines...)
+	c := dial(t, n)
+	c.send(t, message("aa01", "enquiry"))
+	<-begun
+	c.Close()
+	select {
+	case <-b.full:
+	case <-b.givenUp:
+		t.Error("a call was given up before all were made")
+	}
+}
+
+// TestAnUnclearReadIsReleasedBeforeItsRequestWaits: a connection breaks under a read that may have ended well, and no reader is left
+// for another. The request waits, but what it may hold does not; it is served once a reader is back.
+func TestAnUnclearReadIsReleasedBeforeItsRequestWaits(t *testing.T) {
+	r, w := newStub(t, "r1", "prefill", nil), newStub(t, "w1", "decode", writes)
+	d := newRegister(t, list(1, true, member(r, "Ready"), member(w, "Ready")))
+	tries := 0
+	r.answer = func(s *stub, rw http.ResponseWriter, q *http.Request) {
+		if tries++; tries > 1 {
+			reads(s, rw, q)
+			return
+		}
+		d.news <- list(2, false, member(r, "Terminating"))
+		d.news <- list(3, false) // the node has taken the one before
+		panic(http.ErrAbortHandler)
+	}
+	n, _ := start(t, setup{discovery: d.Listener.Addr().String(), change: []string{`"LocalRead":true`, `"LocalRead":false`}})
+	d.news <- list(1, false)
+	c := dial(t, n)
+	c.send(t, message("aa01", "order"))
+	r.await("DELETE aa01")
+	d.news <- list(4, false, member(r, "Ready"))
+	if resp, text, whole := c.answer(t); resp.StatusCode != 200 || !whole {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	if want := []string{"POST aa01", "DELETE aa01", "POST aa01"}; !slices.Equal(r.saw(), want) {
+		t.Errorf("the reader saw %q", r.saw())
+	}
+}
