--- a/choice/cold_test.go
+++ b/choice/cold_test.go
@@ -10,7 +10,8 @@
 
 // TestColdServersStandTheSumOfAllFronts: servers that have just started get, from all fronts together and in any window of TipAfter, no
 // more than N and what chance adds, N being what the settings allow a server of so much capacity; and they get work. Fronts share
-// nothing: some see several times the mean of the traffic, some have restarted and forgot what they sent, and a burst comes on top.
+// nothing: some see several times the mean of the traffic, some have restarted and forgot what they sent, and a burst comes on top; an eighth of
+// the servers that have not just started may fail attempts, which are made again elsewhere.
 func TestColdServersStandTheSumOfAllFronts(t *testing.T) {
 	const (
 		readers, writers = 12, 24
@@ -22,13 +23,17 @@
 		for name, k := range map[string]struct {
 			cold    func(i int) bool
 			forgets bool // half of the fronts
+			bad     bool // an eighth of the others
 		}{
-			"a reader":                        {func(i int) bool { return i == 3 }, false},
-			"a writer, fronts new":            {func(i int) bool { return i == 15 }, true},
-			"half of the readers":             {func(i int) bool { return i < readers/2 }, false},
-			"half of all, fronts new":         {func(i int) bool { return i%2 == 0 }, true},
-			"all readers but one":             {func(i int) bool { return i < readers-1 }, false},
-			"all writers but one, new fronts": {func(i int) bool { return i > readers }, true},
+			"a reader":                        {func(i int) bool { return i == 3 }, false, false},
+			"a writer, fronts new":            {func(i int) bool { return i == 15 }, true, false},
+			"half of the readers":             {func(i int) bool { return i < readers/2 }, false, false},
+			"half of all, fronts new":         {func(i int) bool { return i%2 == 0 }, true, false},
+			"all readers but one":             {func(i int) bool { return i < readers-1 }, false, false},
+			"all writers but one, new fronts": {func(i int) bool { return i > readers }, true, false},
+			"half of the readers, bad ones":   {func(i int) bool { return i < readers/2 }, false, true},
+			"half of all, bad ones, new":      {func(i int) bool { return i%2 == 0 }, true, true},
+			"a writer, bad ones":              {func(i int) bool { return i == 15 }, false, true},
 		} {
 			t.Run(fmt.Sprintf("%d fronts, %s", fronts, name), func(t *testing.T) {
 				t.Parallel()
@@ -59,6 +64,12 @@
 					g.now = time.Minute + start
 					g.step(ServerList{Scope: Full, Servers: servers})
 				}
+				if k.bad {
+					f.bad = map[ServerID]bool{}
+					for i := range servers {
+						f.bad[servers[i].ID] = i%8 == 7 && !k.cold(i)
+					}
+				}
 				total := 0
 				for w := range 6 {
 					f.sent = map[ServerID]int{}
@@ -83,6 +94,9 @@
 						}
 					}
 				}
+				if k.bad && f.more == 0 {
+					t.Error("there were no further attempts")
+				}
 				if total == 0 {
 					t.Error("no work for those that have just started")
 				}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -14,6 +14,8 @@
 	sent map[ServerID]int
 	next RequestID
 	kind map[ServerID]Role
+	bad  map[ServerID]bool // these fail or turn away every other attempt, so that further ones follow
+	more int               // further attempts, beyond a read and a write
 }
 
 func newFleet(t *testing.T, s Settings, fronts int, servers []Server) *fleet {
@@ -52,6 +54,11 @@
 				break
 			}
 			f.sent[sends[0].Server]++
+			if f.bad[sends[0].Server] && f.rnd.Intn(2) == 0 {
+				f.more++
+				acts = g.step(Outcome{Request: f.next, Attempt: a, Server: sends[0].Server, Result: []Result{Errored, Turned, Reset}[f.rnd.Intn(3)], Elapsed: 10 * ms})
+				continue
+			}
 			if f.kind[sends[0].Server] == Reader {
 				acts = g.step(Outcome{Request: f.next, Attempt: a, Server: sends[0].Server, Result: ReadDone, Elapsed: 20 * ms})
 				continue
