Discovery: a part for the whole and a list that goes back are asked for anew

From reading, each with a step in TestCallsThatComeToNothingAreGivenUp that fails without it: some changes in answer to a call for the whole list were taken for all that changed; a list of an older revision, as from a replica that lags behind, brought back what had been told to drain. A single older whole list is asked for again, a second one in a row is taken. The sum of the waits now names a watch that stops in the middle of its answer: its clock starts there, so the bound is unchanged.

--- a/cmd/brackenbend/node.go
+++ b/cmd/brackenbend/node.go
@@ -43,19 +43,34 @@
 	if err != nil {
 		return err
 	}
+	return followSignals(n, signals, log)
+}
+
+// followSignals runs n until a signal ends it or it fails. SIGHUP is followed while it drains, too: what it still sends goes by the
+// list of the new address. A second signal to end changes nothing.
+func followSignals(n *node.Node, signals <-chan os.Signal, log *zap.Logger) error {
+	var failure error
+	var stopped chan struct{} // closed once it has drained; nil until it begins to
+	drain := func() {
+		if stopped != nil {
+			return
+		}
+		stopped = make(chan struct{})
+		go func() { defer close(stopped); n.Stop() }()
+	}
 	for {
 		select {
-		case err := <-n.Failed():
-			n.Stop()
-			return err
+		case failure = <-n.Failed():
+			drain()
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
 				n.Reload()
 				continue
 			}
 			log.Info("draining", zap.String("signal", sig.String()))
-			n.Stop()
-			return nil
+			drain()
+		case <-stopped:
+			return failure
 		}
 	}
 }
--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -106,6 +106,10 @@
 	Most    int64         // bytes of an answer
 	Seed    uint64        // of the pauses' draws: nodes that lost one discovery together come back spread out
 
+	newest   int64 // the latest revision that was delivered; by Run's goroutine, as the rest here
+	newestAt string
+	older    int // whole lists in a row that were older
+
 	dial    func(ctx context.Context, address string) (net.Conn, error) // nil = TCP
 	mu      sync.Mutex
 	address string
@@ -146,9 +150,10 @@
 const OpenMost = 3
 
 // Late is the longest that a change may go unnoticed while discovery can be reached, whatever happens to the calls: a watch falls
-// silent as it begins, just before the change; then one connection does not come up, and the list takes all its time.
+// silent as it begins, just before the change, or in the middle of its answer; then one connection does not come up, and the
+// list takes all its time.
 func (w *Watcher) Late() time.Duration {
-	silent, hung, list := w.Hold+w.Begin, w.Connect+w.Pause, w.Connect+OpenMost*w.Begin+w.Answer
+	silent, hung, list := max(w.Hold+w.Begin, w.Answer), w.Connect+w.Pause, w.Connect+OpenMost*w.Begin+w.Answer
 	return silent + hung + list
 }
 
@@ -257,6 +262,7 @@
 	}
 	defer c.Close()
 	defer context.AfterFunc(ctx, func() { c.Close() })()
+	whole := true // the whole list was asked for
 	for {
 		text, again, err := w.read(c)
 		if err != nil {
@@ -266,17 +272,14 @@
 		if err != nil {
 			return err
 		}
-		u, err := l.Update()
-		if err != nil {
+		if err := w.take(l, address, whole); err != nil {
 			return err
 		}
-		if l.Complete || len(l.Members) > 0 {
-			w.Deliver(u)
-		}
 		well()
 		if !again {
 			return errors.New("discovery: it closed the connection")
 		}
+		whole = false
 		if err := c.SetReadDeadline(time.Now().Add(w.Hold + w.Begin)); err != nil {
 			return err
 		}
@@ -289,6 +292,36 @@
 	}
 }
 
+// olderTaken is how many whole lists in a row must be older than the one before for them to be taken: discovery has gone back then,
+// while a single one may come from a replica that lags behind, and would bring back what was told to drain.
+const olderTaken = 2
+
+var errPartial = errors.New("discovery: some changes in answer to a call for the whole list")
+
+// take delivers a list. An error tells that the whole is to be asked for anew.
+func (w *Watcher) take(l *List, address string, whole bool) error {
+	if address != w.newestAt {
+		w.newestAt, w.newest, w.older = address, 0, 0
+	}
+	if l.Revision < w.newest {
+		if w.older++; !l.Complete || w.older < olderTaken {
+			return fmt.Errorf("discovery: revision %d after %d", l.Revision, w.newest)
+		}
+	}
+	u, err := l.Update()
+	if err != nil {
+		return err
+	}
+	if l.Complete || len(l.Members) > 0 {
+		w.Deliver(u)
+	}
+	if whole && !l.Complete { // what it tells holds, but what else changed is not known
+		return errPartial
+	}
+	w.newest, w.older = l.Revision, 0
+	return nil
+}
+
 func (w *Watcher) connect(ctx context.Context, address string) (net.Conn, error) {
 	if w.dial != nil {
 		return w.dial(ctx, address)
--- a/internal/node/discovery/trouble_test.go
+++ b/internal/node/discovery/trouble_test.go
@@ -101,6 +101,10 @@
 	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, revision, strings.Join(ms, ","))
 }
 
+func changesOf(n, revision int) string {
+	return strings.Replace(listOf(n, revision), `"complete":true`, `"complete":false`, 1)
+}
+
 // TestCallsThatComeToNothingAreGivenUp: whatever becomes of a call, the next one comes, on a connection of its own and for the
 // whole list, since changes may have been lost.
 func TestCallsThatComeToNothingAreGivenUp(t *testing.T) {
@@ -110,15 +114,19 @@
 		want  []string
 		news  int // engines in the last list
 	}{
-		"silent from the start":  {[]func(net.Conn){silent, says(listOf(2, 41))}, []string{"+", "+", "from=41"}, 2},
-		"a silent watch":         {[]func(net.Conn){says(listOf(1, 41)), silent, says(listOf(2, 42))}, []string{"+", "from=41", "+", "from=42"}, 2},
-		"half a list":            {[]func(net.Conn){starts(listOf(9, 41)), says(listOf(2, 42))}, []string{"+", "+", "from=42"}, 2},
-		"half of what changed":   {[]func(net.Conn){says(listOf(1, 41)), starts(listOf(9, 42)), says(listOf(2, 43))}, []string{"+", "from=41", "+", "from=43"}, 2},
-		"a close for an answer":  {[]func(net.Conn){closes, says(listOf(2, 41))}, []string{"+", "+", "from=41"}, 2},
-		"a reset watch":          {[]func(net.Conn){says(listOf(1, 41)), resets, says(listOf(2, 42))}, []string{"+", "from=41", "+", "from=42"}, 2},
-		"no list":                {[]func(net.Conn){says("noise"), says(listOf(2, 41))}, []string{"+", "+", "from=41"}, 2},
-		"hundreds, in pieces":    {[]func(net.Conn){pieces(listOf(400, 41)), says(listOf(2, 42))}, []string{"+", "from=41", "from=42"}, 2},
-		"an indented whole list": {[]func(net.Conn){says(listOf(1, 40)), pieces(indented)}, []string{"+", "from=40", "from=41"}, 2},
+		"silent from the start":   {[]func(net.Conn){silent, says(listOf(2, 41))}, []string{"+", "+", "from=41"}, 2},
+		"a silent watch":          {[]func(net.Conn){says(listOf(1, 41)), silent, says(listOf(2, 42))}, []string{"+", "from=41", "+", "from=42"}, 2},
+		"half a list":             {[]func(net.Conn){starts(listOf(9, 41)), says(listOf(2, 42))}, []string{"+", "+", "from=42"}, 2},
+		"half of what changed":    {[]func(net.Conn){says(listOf(1, 41)), starts(listOf(9, 42)), says(listOf(2, 43))}, []string{"+", "from=41", "+", "from=43"}, 2},
+		"a close for an answer":   {[]func(net.Conn){closes, says(listOf(2, 41))}, []string{"+", "+", "from=41"}, 2},
+		"a reset watch":           {[]func(net.Conn){says(listOf(1, 41)), resets, says(listOf(2, 42))}, []string{"+", "from=41", "+", "from=42"}, 2},
+		"no list":                 {[]func(net.Conn){says("noise"), says(listOf(2, 41))}, []string{"+", "+", "from=41"}, 2},
+		"hundreds, in pieces":     {[]func(net.Conn){pieces(listOf(400, 41)), says(listOf(2, 42))}, []string{"+", "from=41", "from=42"}, 2},
+		"changes for the whole":   {[]func(net.Conn){says(changesOf(1, 42)), says(listOf(2, 43))}, []string{"+", "+", "from=43"}, 2},
+		"a watch that goes back":  {[]func(net.Conn){says(listOf(1, 41)), says(changesOf(9, 40)), says(listOf(2, 42))}, []string{"+", "from=41", "+", "from=42"}, 2},
+		"an older whole list":     {[]func(net.Conn){says(listOf(2, 41)), closes, says(listOf(9, 40)), says(listOf(2, 42))}, []string{"+", "from=41", "+", "+", "from=42"}, 2},
+		"discovery has gone back": {[]func(net.Conn){says(listOf(2, 41)), closes, says(listOf(9, 3)), says(listOf(3, 4))}, []string{"+", "from=41", "+", "+", "from=4"}, 3},
+		"an indented whole list":  {[]func(net.Conn){says(listOf(1, 40)), pieces(indented)}, []string{"+", "from=40", "from=41"}, 2},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScript(t, k.steps...)
