Front: an attempt asks the system whether its client has left as it is about to be written

The connection's goroutine sees a close only once it is scheduled. TestACloseThatNobodyHasReadYet forces it: the goroutine is stopped before it reads the close; without the change the attempt is sent.

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -5,18 +5,27 @@
 	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus/testutil"
+
+	"brackenbend/choice"
 )
 
 // hookedConn is a client's connection, at the front's end, that stops at named points.
 type hookedConn struct {
 	*net.TCPConn
+	beforeRead func()
 	afterRead  func(p []byte)
 	afterWrite func(p []byte)
 }
 
 func (c *hookedConn) Read(p []byte) (int, error) {
+	if c.beforeRead != nil {
+		c.beforeRead()
+	}
 	n, err := c.TCPConn.Read(p)
 	if c.afterRead != nil && n > 0 {
 		c.afterRead(p[:n])
@@ -32,8 +41,8 @@
 	return n, err
 }
 
-// connect makes a client's connection whose other end, with hooks, is given to the front.
-func (r *rig) connect(hooked *hookedConn) *net.TCPConn {
+// connect makes a client's connection whose other end, with hooks, is given to the front once before has returned.
+func (r *rig) connect(hooked *hookedConn, before ...func(*net.TCPConn)) *net.TCPConn {
 	r.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -49,6 +58,9 @@
 	if err != nil {
 		r.t.Fatal(err)
 	}
+	for _, f := range before {
+		f(client.(*net.TCPConn))
+	}
 	hooked.TCPConn = accepted.(*net.TCPConn)
 	r.f.accept(hooked)
 	return client.(*net.TCPConn)
@@ -126,3 +138,37 @@
 		}
 	}
 }
+
+// TestACloseThatNobodyHasReadYet: a client has left, but its connection's goroutine has not come to see it when the first attempt is
+// about to be written. The system knows, and nothing is sent.
+func TestACloseThatNobodyHasReadYet(t *testing.T) {
+	r := newRig(t, "", "reader", "writer")
+	reads, seen := 0, make(chan struct{})
+	answered := make(chan struct{})
+	answer := sync.OnceFunc(func() { close(answered) })
+	defer answer()
+	r.connect(&hookedConn{
+		beforeRead: func() {
+			if reads++; reads == 2 { // for the close
+				close(seen)
+				<-answered
+			}
+		},
+	}, func(c *net.TCPConn) {
+		if _, err := io.WriteString(c, request(chat(true, 3), "")); err != nil {
+			t.Fatal(err)
+		}
+		c.Close()
+	})
+	<-seen
+	r.eventually("an attempt is not sent", func() bool {
+		return testutil.ToFloat64(r.f.m.Attempts.WithLabelValues("read", resultNames[choice.NotSent])) > 0
+	})
+	answer()
+	r.eventually("the connection has ended", func() bool { return testutil.ToFloat64(r.f.m.Connections) == 0 })
+	for name, e := range r.engines {
+		if n := e.Arrivals(); n > 0 {
+			t.Errorf("%s was asked %d times", name, n)
+		}
+	}
+}
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -193,7 +193,7 @@
 	if a.after != nil {
 		<-a.after
 	}
-	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Over: a.fl.over}
+	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Over: a.fl.abandoned}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
