Engines: a connection rests for 25 ms after an answer before it is used again

One that came after the next request was written on that connection was taken for its answer (request two got what was made for one), since kept connections are looked at only before the write. The newest connection that has rested is taken now, else a new one is opened.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -52,11 +52,14 @@
 	Total       int           // at once, all engines; 0 = no bound
 	Idle        int           // kept, an engine
 	IdleTime    time.Duration
-	StreamIdle  time.Duration // longest silence within a stream
-	Event       int           // bytes of one event
-	Reply       int64         // bytes of an answer that is not a stream
-	Limits      http1.Limits
-	Report      []string // names of load figures, in the module's order
+	// Rest is how long a connection is not used again after an answer: a second one, which nobody asked for, may come a little
+	// late, and would be taken for that of the next request. 0 = not at all.
+	Rest       time.Duration
+	StreamIdle time.Duration // longest silence within a stream
+	Event      int           // bytes of one event
+	Reply      int64         // bytes of an answer that is not a stream
+	Limits     http1.Limits
+	Report     []string // names of load figures, in the module's order
 
 	all     atomic.Int64         // connections open or being opened
 	mu      sync.Mutex           // taken before a server's
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -94,9 +94,12 @@
 	fresh = fresh || c.distrusts()
 	s.mu.Lock()
 	s.all = &c.all
-	for !fresh && len(s.idle) > 0 {
-		k := s.idle[len(s.idle)-1]
-		s.idle = s.idle[:len(s.idle)-1]
+	for i := len(s.idle) - 1; !fresh && i >= 0; i-- {
+		k := s.idle[i]
+		if time.Since(k.since) < c.Rest {
+			continue
+		}
+		s.idle = slices.Delete(s.idle, i, i+1)
 		if time.Since(k.since) < c.IdleTime && quiet(k.Conn) {
 			s.mu.Unlock()
 			k.reused = true
--- /dev/null
+++ b/internal/engine/rest_test.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// TestASecondAnswerThatComesLate: an engine answers twice, and its second answer is on its way as the next request is sent. It is
+// not taken for that one's: the connection is not used again so soon. One that has rested is.
+func TestASecondAnswerThatComesLate(t *testing.T) {
+	for _, rest := range []time.Duration{time.Hour, time.Nanosecond} {
+		var connections atomic.Int64
+		s := peer(t, func(i int, c *net.TCPConn) {
+			connections.Add(1)
+			br := bufio.NewReader(c)
+			late := ""
+			for n := 0; ; n++ {
+				req, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				event := fmt.Sprintf("data: {\"choices\":[{\"delta\":{\"content\":\"%s\"}}]}\n\ndata: [DONE]\n\n", req.Header.Get(FieldID))
+				answer := fmt.Sprintf("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(event), event)
+				fmt.Fprint(c, late+answer)
+				if rest == time.Hour {
+					late = answer
+				}
+			}
+		})
+		c := testClient()
+		c.Rest = rest
+		for _, id := range []string{"one", "two"} {
+			got := &sink{}
+			c.Write(&Attempt{}, s, Call{Path: "/v1/x", ID: id, Body: []byte("{}"), Deadline: time.Now().Add(20 * time.Second)}, got)
+			if !strings.Contains(got.got.String(), id) {
+				t.Errorf("rest %v: request %s got %q", rest, id, got.got.String())
+			}
+		}
+		if want := map[bool]int64{true: 2, false: 1}[rest == time.Hour]; connections.Load() != want {
+			t.Errorf("rest %v: %d connections, want %d", rest, connections.Load(), want)
+		}
+		s.Shut()
+	}
+}
--- a/internal/node/budget.go
+++ b/internal/node/budget.go
@@ -76,6 +76,7 @@
 	cutBefore   = 150 * time.Millisecond  // so long before an end what is open is cut short
 	lingerMost  = 600 * time.Millisecond  // after SIGTERM connections keep coming for 0.4 s; what came by then is in time
 	settle      = 3 * time.Millisecond    // a few round trips within a zone: until then a connection that breaks did not run what it holds
+	rest        = 25 * time.Millisecond   // a second answer that nobody asked for may come some milliseconds late
 	headTime    = 500 * time.Millisecond  // an answer's head comes at once with its first event
 	margin      = 20 * time.Millisecond   // final answers before the client's time is up
 	dialTime    = 250 * time.Millisecond  // where the settings tell none
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,7 +113,7 @@
 		FirstTime: firstTime, IdleLeast: idleLeast, Linger: linger, CutBroken: true, OneByOne: true, Waits: site.RetryAfter, Fractions: true,
 		Engines: &engine.Client{Dialect: dialect.Engines{}, Load: dialect.FieldLoad, ByRequest: true, ToLastChunk: true, WholeSent: true, Settle: settle,
 			DialTime: dial, HeadTime: headTime, Stream: bodyMost, Connections: b.PerEngine, Total: b.Engines, Idle: b.PerEngine,
-			IdleTime: idle * 2 / 3, StreamIdle: streamQuiet, Event: 64 << 10, Reply: bodyMost, Limits: http1.Limits{Head: 16 << 10, Fields: 100}}}
+			IdleTime: idle * 2 / 3, Rest: rest, StreamIdle: streamQuiet, Event: 64 << 10, Reply: bodyMost, Limits: http1.Limits{Head: 16 << 10, Fields: 100}}}
 }
 
 // drain is how long after SIGTERM requests are still taken in, and when what is open is cut short. Clients that ask for the
