Front: a failed accept while the front drains does not end its listening

From reading: any error of Accept during the drain, as with no descriptor left, closed the listener, and clients that the platform still sends for 0.4 s were refused. TestDescriptorsRunOutAsTheFrontDrains fails without the change (connection refused).

--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -6,6 +6,8 @@
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -139,6 +141,47 @@
 	}
 }
 
+// scarceListener fails to accept as long as it is told to, as one does that is out of descriptors.
+type scarceListener struct {
+	*net.TCPListener
+	short  atomic.Bool
+	failed chan struct{}
+}
+
+func (l *scarceListener) Accept() (net.Conn, error) {
+	nc, err := l.TCPListener.Accept()
+	if err == nil && l.short.CompareAndSwap(true, false) {
+		nc.Close()
+		close(l.failed)
+		return nil, syscall.EMFILE
+	}
+	return nc, err
+}
+
+// TestDescriptorsRunOutAsTheFrontDrains: an accept fails for want of descriptors after the shutdown has begun. Clients that still
+// connect are taken in all the same.
+func TestDescriptorsRunOutAsTheFrontDrains(t *testing.T) {
+	l := &scarceListener{TCPListener: listenOn(t), failed: make(chan struct{})}
+	r := newRigOn(t, l, "", "reader", "writer")
+	r.eventually("it listens", func() bool { r.f.mu.Lock(); defer r.f.mu.Unlock(); return r.f.listener != nil })
+	r.f.Linger = 20 * time.Second
+	l.short.Store(true)
+	ended := make(chan struct{})
+	go func() { r.f.Shutdown(t.Context()); close(ended) }()
+	r.eventually("it drains", r.f.draining.Load)
+	first, err := net.Dial("tcp", r.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.Close()
+	<-l.failed
+	if got := r.raw(request(chat(true, 3), "Connection: close\r\n")); !strings.Contains(got, "[DONE]") {
+		t.Errorf("%q", got)
+	}
+	_ = l.SetDeadline(time.Now()) // nobody else is to come
+	<-ended
+}
+
 // TestACloseThatNobodyHasReadYet: a client has left, but its connection's goroutine has not come to see it when the first attempt is
 // about to be written. The system knows, and nothing is sent.
 func TestACloseThatNobodyHasReadYet(t *testing.T) {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -192,25 +193,31 @@
 	f.mu.Unlock()
 	defer f.wait.Done()
 	defer l.Close()
-	pause := 5 * time.Millisecond
+	pause := acceptPauseLeast
 	for {
 		nc, err := l.Accept()
 		switch {
 		case err == nil:
-			pause = 5 * time.Millisecond
+			pause = acceptPauseLeast
 			f.accept(nc)
-		case f.draining.Load():
+		case f.draining.Load() && (errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded)):
 			return nil
 		case errors.Is(err, net.ErrClosed):
 			return err
-		default: // out of descriptors, say: clients wait in the backlog rather than the front ends
+		default: // out of descriptors, say: clients wait in the backlog, also while the front drains, rather than it ends
 			f.log.Error("accept failed", zap.Error(err))
 			time.Sleep(pause)
-			pause = min(2*pause, time.Second)
+			pause = min(2*pause, acceptPauseMost)
 		}
 	}
 }
 
+// The bounds on the pause after a failed accept, which doubles.
+const (
+	acceptPauseLeast = 5 * time.Millisecond
+	acceptPauseMost  = 100 * time.Millisecond
+)
+
 // lastLook is how long a draining front still looks for clients that are connecting, and for a request on a
 // connection that was idle: closing in its face would leave it without an answer.
 const lastLook = 50 * time.Millisecond
@@ -287,8 +294,8 @@
 	f.leaves.Store(time.Now().Add(f.Linger).UnixNano())
 	f.mu.Lock()
 	f.draining.Store(true)
-	if t, ok := f.listener.(*net.TCPListener); ok { // those in the backlog are taken in and told
-		_ = t.SetDeadline(f.look())
+	if l, ok := f.listener.(interface{ SetDeadline(time.Time) error }); ok { // those in the backlog are taken in and told
+		_ = l.SetDeadline(f.look())
 	} else if f.listener != nil {
 		f.listener.Close()
 	}
--- a/internal/front/front_test.go
+++ b/internal/front/front_test.go
@@ -69,6 +69,21 @@
 </brackenbend>`
 
 func newRig(t *testing.T, limits string, roles ...string) *rig {
+	t.Helper()
+	return newRigOn(t, listenOn(t), limits, roles...)
+}
+
+func listenOn(t *testing.T) *net.TCPListener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l.(*net.TCPListener)
+}
+
+// newRigOn makes a rig that serves on l.
+func newRigOn(t *testing.T, l net.Listener, limits string, roles ...string) *rig {
 	t.Helper()
 	set, err := config.Parse("test.xml", fmt.Appendf(nil, settings, limits))
 	if err != nil {
@@ -88,10 +103,6 @@
 		r.list = append(r.list, register.Engine{Name: name, Kind: role, Address: s.Info().Address, State: choice.Ready})
 	}
 	r.f.Deliver(register.Update{Scope: choice.Full, Engines: r.list})
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	r.addr = l.Addr().String()
 	go func() { r.served <- r.f.Serve(l) }()
 	t.Cleanup(func() {
