--- a/internal/engine/rest_test.go
+++ b/internal/engine/rest_test.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"brackenbend/choice"
 )
 
 // TestASecondAnswerThatComesLate: an engine answers twice, and its second answer is on its way as the next request is sent. It is
@@ -50,3 +52,17 @@
 		s.Shut()
 	}
 }
+
+// TestOnlyWhatWasGivenUpIsWaitedFor: before anything follows from an attempt of unsafe work that this side ended, its engine gets time
+// to see that. What the engine ended itself, or never got, needs none.
+func TestOnlyWhatWasGivenUpIsWaitedFor(t *testing.T) {
+	for result, waits := range map[choice.Result]bool{choice.TimedOut: true, choice.Cancelled: true, choice.Errored: true, choice.Broken: true,
+		choice.Served: false, choice.ReadDone: false, choice.Turned: false, choice.Reset: false, choice.ConnectFailed: false, choice.NotSent: false} {
+		var waited time.Duration
+		c := &Client{Settle: 3 * time.Millisecond, Pause: func(d time.Duration) { waited = d }}
+		c.Part(&Outcome{Result: result})
+		if waited != map[bool]time.Duration{true: c.Settle}[waits] {
+			t.Errorf("result %d: waited %v", result, waited)
+		}
+	}
+}
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
+	"time"
 )
 
 // barrier lets calls through once enough of them are open at one time.
@@ -88,3 +90,35 @@
 		t.Errorf("the reader saw %q", r.saw())
 	}
 }
+
+// TestARestartedEngineIsAskedOnANewConnection: a process comes back under the same id and address; what was kept towards the old one
+// is not used, though nothing shows that it is of no use.
+func TestARestartedEngineIsAskedOnANewConnection(t *testing.T) {
+	r, w := newStub(t, "r1", "prefill", nil), newStub(t, "w1", "decode", writes)
+	var mu sync.Mutex
+	peers := map[string]bool{}
+	r.answer = func(s *stub, rw http.ResponseWriter, q *http.Request) {
+		mu.Lock()
+		peers[q.RemoteAddr] = true
+		mu.Unlock()
+		reads(s, rw, q)
+	}
+	d := newRegister(t, list(1, true, member(r, "Ready"), member(w, "Ready")))
+	n, _ := start(t, setup{discovery: d.Listener.Addr().String()})
+	d.news <- list(1, false)
+	c := dial(t, n)
+	for i, id := range []string{"aa01", "aa02", "aa03"} {
+		if i == 2 {
+			d.news <- list(2, false, strings.Replace(member(r, "Ready"), `"up_since_ms":0`, `"up_since_ms":1700000000123`, 1))
+			d.news <- list(2, false) // the node has taken the one before
+		}
+		time.Sleep(2 * rest) // a connection may be used again then
+		c.send(t, message(id, "enquiry"))
+		if resp, _, whole := c.answer(t); resp.StatusCode != 200 || !whole {
+			t.Errorf("%s: %d", id, resp.StatusCode)
+		}
+	}
+	if len(peers) != 2 {
+		t.Errorf("asked on %d connections, want one before the restart and one after it", len(peers))
+	}
+}
