--- a/choice/choice.go
+++ b/choice/choice.go
@@ -184,7 +184,7 @@
 	q.out++
 	q.read = q.read || !write
 	connect := r.set.ReleaseWithin / connects * time.Duration(b2f(q.reader != nil))
-	r.emit(Send{Request: q.ID, Server: s.ID, Timeout: r.timeout(q, &a), Connect: connect, Window: q.window(r.now)})
+	r.emit(Send{q.ID, s.ID, r.timeout(q, &a), connect, q.window(r.now)})
 }
 
 // timeout bounds an attempt that another could still replace; 0 lets it run until the client leaves. Another
