--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -8,10 +8,10 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"brackenbend/choice"
+	"brackenbend/internal/socket"
 )
 
 // Server is one engine as this front speaks to it.
@@ -215,21 +215,4 @@
 
 // quiet tells that the peer has neither closed an idle connection nor sent anything on it. It narrows, but
 // can't close, the gap in which a connection dies at reuse; so what may run only once dials anew.
-func quiet(nc net.Conn) bool {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	alive := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, e := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		alive = errors.Is(e, syscall.EAGAIN)
-		return true
-	})
-	return err == nil && alive
-}
+func quiet(nc net.Conn) bool { return socket.Incoming(nc) == socket.Quiet }
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -18,6 +18,7 @@
 	"brackenbend/internal/api"
 	"brackenbend/internal/engine"
 	"brackenbend/internal/http1"
+	"brackenbend/internal/socket"
 )
 
 // client is one client's connection. Its goroutine reads requests and writes all answers that are not streams;
@@ -485,6 +486,10 @@
 	return fl.answer.Status != 0 || fl.result == "gone"
 }
 
+// hungUp asks the system whether the client has closed its connection. The connection's goroutine finds out by itself, but may be
+// scheduled late.
+func (c *client) hungUp() bool { return socket.Incoming(c.nc) == socket.Ended }
+
 // callOff ends the attempt that streams.
 func (c *client) callOff(fl *flight) {
 	fl.mu.Lock()
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -56,10 +56,10 @@
 	bytes    atomic.Int64 // of its body, as booked with the front
 
 	// owned by the loop
-	out   int
-	kv    json.RawMessage
-	after *Answer // set once out is 0: see refuse
-	holds bool    // the module wants what it may hold let go
+	out     int
+	kv      json.RawMessage
+	after   *Answer // set once out is 0: see refuse
+	mayHold bool    // the module wants what it may hold released
 	// releasing is closed once what an attempt may have left was released; the next one waits for it. nil: nothing is.
 	releasing <-chan struct{}
 }
@@ -110,6 +110,9 @@
 
 func (fl *flight) over() bool { return fl.state.Load() >= answered }
 
+// abandoned tells, as an attempt is about to be written, that none may begin any more: there is an answer, or the client has left.
+func (fl *flight) abandoned() bool { return fl.over() || fl.to.hungUp() }
+
 func (fl *flight) note(a *attempt) {
 	fl.mu.Lock()
 	fl.attempts = append(fl.attempts, a)
@@ -225,17 +228,17 @@
 		l.work.Add(1)
 		go func() {
 			defer l.work.Done()
-			a.letGo(l)
+			a.release(l)
 		}()
 	}
 	l.post(item{kv: out.KV, ev: choice.Outcome{Request: a.fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: took, Over: over,
 		Result: out.Result, NoState: out.NoState, Kept: out.Kept, Report: out.Report}})
 }
 
-// letGo tells the reader to let go of the state of this attempt, which has ended.
-func (a *attempt) letGo(l *loop) {
-	if !a.unsent && l.lets {
-		l.letGo(a.id, []*engine.Server{a.srv})
+// release tells the reader to release the state of this attempt, which has ended.
+func (a *attempt) release(l *loop) {
+	if !a.unsent && l.releases {
+		l.releaseAtOne(a.id, []*engine.Server{a.srv})
 	}
 }
 
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -29,11 +29,11 @@
 // goroutines of their own and post items. The queue needs no bound of its own: a request open has a handful of
 // items at most in it, and open requests are bounded.
 type loop struct {
-	f      *Front
-	router *choice.Router
-	client *engine.Client
-	lets   bool // engines are told to let go of state
-	start  time.Time
+	f        *Front
+	router   *choice.Router
+	client   *engine.Client
+	releases bool // engines are told to release state
+	start    time.Time
 
 	mu     sync.Mutex
 	queue  []item
@@ -67,7 +67,7 @@
 const epoch = 24 * time.Hour
 
 func newLoop(f *Front, r *choice.Router, c *engine.Client) *loop {
-	l := &loop{f: f, router: r, client: c, lets: c.Releases(), start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), tasks: make(chan *attempt),
+	l := &loop{f: f, router: r, client: c, releases: c.Releases(), start: time.Now(), wake: make(chan struct{}, 1), done: make(chan struct{}), tasks: make(chan *attempt),
 		flights: map[choice.RequestID]*flight{}, servers: map[string]*listed{}, byID: map[choice.ServerID]*listed{}, places: map[string]int{}}
 	for i, stage := range []string{"read", "write"} {
 		for r, name := range resultNames {
--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -21,13 +21,13 @@
 
 var errNoEngine = errors.New("front: no engine to release at")
 
-// release lets go of what reads of fl left at readers. Each is told once its attempt has ended, so that the
-// word can't overtake the read; letting go twice is harmless.
+// release releases what reads of fl left at readers. Each is told once its attempt has ended, so that the release can't
+// overtake the read; releasing twice is harmless.
 func (l *loop) release(fl *flight) {
-	if !l.lets {
+	if !l.releases {
 		return
 	}
-	if fl.holds = true; l.client.ByRequest {
+	if fl.mayHold = true; l.client.ByRequest {
 		return // once, when no attempt is out
 	}
 	for _, att := range fl.attempts {
@@ -39,7 +39,7 @@
 		go func() {
 			defer l.work.Done()
 			<-att.ended
-			att.letGo(l)
+			att.release(l)
 		}()
 	}
 }
@@ -48,7 +48,7 @@
 // request may wait for long before it is read again, and what it holds must not. The next attempt waits until the word was given,
 // which would take the state of the read that follows, too.
 func (l *loop) releaseUnclear(fl *flight) {
-	if !l.client.ByRequest || !l.lets || len(fl.attempts) == 0 {
+	if !l.client.ByRequest || !l.releases || len(fl.attempts) == 0 {
 		return
 	}
 	last := fl.attempts[len(fl.attempts)-1]
@@ -64,17 +64,17 @@
 // releaseAll releases what a flight that ends may have left anywhere: the module asked for it, or a read of which nobody knows
 // how it ended came before the one that was written from.
 func (l *loop) releaseAll(fl *flight) {
-	if !l.client.ByRequest || !l.lets {
+	if !l.client.ByRequest || !l.releases {
 		return
 	}
 	var holders []*engine.Server // the latest first
 	for i := len(fl.attempts) - 1; i >= 0; i-- {
 		if a := fl.attempts[i]; !a.write && !a.unsent {
-			fl.holds = fl.holds || a.unclear && !a.released
+			fl.mayHold = fl.mayHold || a.unclear && !a.released
 			holders = append(holders, a.srv)
 		}
 	}
-	if fl.holds && len(holders) > 0 {
+	if fl.mayHold && len(holders) > 0 {
 		l.releaseAt(fl.name, l.releaseOrder(holders), func() {})
 	}
 }
@@ -99,13 +99,13 @@
 	go func() {
 		defer l.work.Done()
 		defer done()
-		l.letGo(id, servers)
+		l.releaseAtOne(id, servers)
 	}()
 }
 
-// letGo has one of the servers release what id holds. Several may be lost, and each takes long to show it, so the next one is
+// releaseAtOne has one of the servers release what id holds. Several may be lost, and each takes long to show it, so the next one is
 // asked whenever the ones before have said nothing for a part of the time, or have failed.
-func (l *loop) letGo(id string, servers []*engine.Server) {
+func (l *loop) releaseAtOne(id string, servers []*engine.Server) {
 	deadline := time.Now().Add(l.releaseTime())
 	results := make(chan error, len(servers))
 	calls := make([]engine.Attempt, len(servers))
