Engines: an attempt whose time is up before it begins is not sent, and blames no engine

From reading: an attempt may wait for a release before it begins; past its deadline the dial failed at once and counted as a failed connection of an engine that had been asked nothing. The test gives such a call; it was a failed connect before.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -87,6 +87,9 @@
 // late tells that the time to send the request has passed.
 func (c *Call) late() bool { return !c.SendBy.IsZero() && !time.Now().Before(c.SendBy) }
 
+// expired tells that the call's time is up.
+func (c *Call) expired() bool { return !c.Deadline.IsZero() && !time.Now().Before(c.Deadline) }
+
 // sendBy is when the request has to be written.
 func (c *Call) sendBy() time.Time {
 	if c.SendBy.IsZero() || c.SendBy.After(c.Deadline) && !c.Deadline.IsZero() {
@@ -214,7 +217,7 @@
 		}
 		return nil, nil, &out
 	}
-	if a.cancelled() || !s.IsOpen() || call.over() {
+	if a.cancelled() || !s.IsOpen() || call.over() || call.expired() {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: errShut})
 	}
 	up := call.sendBy()
--- a/internal/engine/window_test.go
+++ b/internal/engine/window_test.go
@@ -63,6 +63,10 @@
 			t.Errorf("%s: %+v", name, out)
 		}
 	}
+	over := Call{Path: "/v1/x", ID: "a", Deadline: time.Now().Add(-time.Millisecond)} // it waited for something else
+	if out := testClient().Write(&Attempt{}, &Server{Address: l.Addr().String()}, over, &sink{}); out.Result != choice.NotSent {
+		t.Errorf("past its deadline: %+v", out)
+	}
 	close(stalled)
 	for range 2 { // the first made no connection
 		if <-whole {
