Front: a flag that nothing reads any more is gone; an attempt waits for what it names

flight.parts was read by cutShort alone, which leaves answers to the connection's goroutine now. attempt.after becomes waitFor, since flight.after is an answer.

--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -47,7 +47,6 @@
 	done   chan struct{} // closed once the answer is set or the stream has ended
 	answer Answer        // set before done is closed, by the owner of the answer
 	result string        // for the log, as answer
-	parts  atomic.Bool   // the answer is known, and comes once its last attempt has ended
 	events atomic.Int64  // of the stream
 	first  atomic.Int64  // nanoseconds from taken to the first token
 
@@ -127,7 +126,6 @@
 func (fl *flight) refuse(a Answer) {
 	if fl.out > 0 && fl.class.Effect == choice.Unsafe && fl.to.f.Choice.CanCancel {
 		fl.after = &a
-		fl.parts.Store(true)
 		return
 	}
 	fl.finish(a)
@@ -165,7 +163,7 @@
 	handle   engine.Attempt
 	began    time.Time
 	ended    chan struct{}
-	after    <-chan struct{} // it begins once this is closed; nil = at once
+	waitFor  <-chan struct{} // it begins once this is closed; nil = at once
 	unsent   bool            // set before ended is closed: the engine never ran it
 	unclear  bool            // so is this: it may have left a state that nobody was told of
 	released bool            // by the loop
@@ -193,8 +191,8 @@
 //
 //go:noinline
 func (a *attempt) perform(l *loop) engine.Outcome {
-	if a.after != nil {
-		<-a.after
+	if a.waitFor != nil {
+		<-a.waitFor
 	}
 	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Over: a.fl.abandoned}
 	if bend := l.f.seam.Key; bend != nil {
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -283,7 +283,7 @@
 		return
 	}
 	n := len(fl.attempts)
-	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{}), after: fl.releasing}
+	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{}), waitFor: fl.releasing}
 	if att.id == "" {
 		att.id = l.f.wideID(fl.id, n)
 	}
