--- a/cmd/brackenbend/node_test.go
+++ b/cmd/brackenbend/node_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 
@@ -49,7 +50,8 @@
 	old, _ := discoveryStub(t)
 	next, asked := discoveryStub(t)
 	reading, held := make(chan struct{}), make(chan struct{})
-	reader := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { close(reading); <-held; panic(http.ErrAbortHandler) })}
+	begun := sync.OnceFunc(func() { close(reading) })
+	reader := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { begun(); <-held; panic(http.ErrAbortHandler) })}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
