--- a/internal/node/discovery/discovery.go
+++ b/internal/node/discovery/discovery.go
@@ -106,9 +106,9 @@
 	Most    int64         // bytes of an answer
 	Seed    uint64        // of the pauses' draws: nodes that lost one discovery together come back spread out
 
-	newest   int64 // the latest revision that was delivered; by Run's goroutine, as the rest here
-	newestAt string
-	older    int // whole lists in a row that were older
+	newest   int64  // the latest revision that was delivered; this and the next two by Run's goroutine
+	newestAt string // the address that it came from
+	older    int    // answers in a row that were older
 
 	dial    func(ctx context.Context, address string) (net.Conn, error) // nil = TCP
 	mu      sync.Mutex
@@ -292,8 +292,8 @@
 	}
 }
 
-// olderTaken is how many whole lists in a row must be older than the one before for them to be taken: discovery has gone back then,
-// while a single one may come from a replica that lags behind, and would bring back what was told to drain.
+// olderTaken is how many answers in a row must be older than what was delivered for the last, a whole list, to be taken: discovery has
+// gone back then, while a single one may come from a replica that lags behind, and would bring back what was told to drain.
 const olderTaken = 2
 
 var errPartial = errors.New("discovery: some changes in answer to a call for the whole list")
