--- a/choice/admission.go
+++ b/choice/admission.go
@@ -14,7 +14,7 @@
 		return
 	}
 	if ev.Doubtful && r.set.Classes[ev.Class].Effect == Unsafe { // an earlier try may have run, at any front
-		r.emit(Fail{ev.ID, true})
+		r.emit(Fail{ev.ID, true, EarlierTry})
 		return
 	}
 	q := &request{Request: ev, class: &r.set.Classes[ev.Class], at: r.now}
@@ -75,7 +75,7 @@
 		switch q := r.todo[i]; {
 		case !q.waits: // it came twice
 		case r.hopeless(q):
-			r.finish(q, r.no(q, r.ahead(q, first)))
+			r.finish(q, r.no(q, r.ahead(q, first), r.heldReason(q)))
 		case r.futile(q):
 		case r.launch(q):
 			r.unhold(q)
@@ -159,3 +159,18 @@
 	need := seconds(r.newTokens[q.Class]*r.readPace/4 + r.firstTime/4)
 	return r.now+max(margin, need) >= q.limit || len(q.att) >= r.set.MaxAttempts || q.shed
 }
+
+// heldReason tells why a held request that is hopeless is given up.
+func (r *Router) heldReason(q *request) Reason {
+	switch {
+	case r.ending:
+		return FrontEnding
+	case q.shed:
+		return Overload
+	case len(q.att) >= r.set.MaxAttempts:
+		return NoAttemptLeft
+	case q.limit >= q.Due:
+		return DeadlineNear
+	}
+	return AimMissed
+}
--- a/choice/api.go
+++ b/choice/api.go
@@ -50,7 +50,7 @@
 	TokenAim   time.Duration // wanted time between tokens; not used yet
 	Deadline   time.Duration // how long a client waits in all; Request.Due is what counts
 	Worth      float64       // worth of one request (or of one unit of work); not used yet
-	LateWorth  float64       // part of the worth paid after the aim: the larger, the less is refused on arrival
+	LateWorth  float64       // part of the worth paid after the aim; the larger, the fewer are refused early
 	Effect     Effect
 	Group      Group         // for Keyed
 	Window     time.Duration // for Keyed: how long repeats are dropped
@@ -85,7 +85,7 @@
 	WritersRead    bool          // a writer reads by itself when there is no state
 	Resume         bool          // broken streams come again; not used, they are requests like any other
 	ReleaseWithin  time.Duration // held state must be taken or let go within; 0 = 300 ms
-	AnswerSlack    time.Duration // past Due in which a final answer still counts; not used, answers come by Due
+	AnswerSlack    time.Duration // past Due in which a final answer still counts; not used
 	DrainGrace     time.Duration // sends to a draining server must stop within; not used, they stop at once
 	ColdFrom       float64       // part of its capacity at which a server starts; 0 = 0.25
 	ColdFor        time.Duration // warm after this; 0 = never cold
@@ -135,8 +135,9 @@
 }
 
 func (s Settings) times() map[string]time.Duration {
-	return map[string]time.Duration{"MaxWait": s.MaxWait, "ReleaseWithin": s.ReleaseWithin, "TipAfter": s.TipAfter,
-		"ColdFor": s.ColdFor, "DrainGrace": s.DrainGrace, "AnswerSlack": s.AnswerSlack, "AskWithin": s.AskWithin}
+	return map[string]time.Duration{"MaxWait": s.MaxWait, "ReleaseWithin": s.ReleaseWithin,
+		"TipAfter": s.TipAfter, "ColdFor": s.ColdFor, "DrainGrace": s.DrainGrace,
+		"AnswerSlack": s.AnswerSlack, "AskWithin": s.AskWithin}
 }
 
 // State is what the list says of a server.
@@ -193,8 +194,8 @@
 		Due       time.Duration
 		Repeat    bool // a client's further try, where clients mark it; not used
 		Resumed   bool // came again after its stream broke; not used
-		// Doubtful marks a further try by a client of itself, of which it can't be told here how the earlier ones
-		// ended: one may have run.
+		// Doubtful marks a further try by a client of itself, of which it can't be told here how the earlier
+		// ones ended: one may have run.
 		Doubtful bool
 	}
 	// First tells that a stream has begun; its request has no deadline any more.
@@ -270,10 +271,12 @@
 		Request RequestID
 		Server  ServerID
 		Timeout time.Duration // 0 = until Due
-		// Connect is how long a connection may take to come up, since a state waits meanwhile; 0 = as long as ever.
+		// Connect is how long a connection may take to come up, since a state waits meanwhile; 0 = as long as
+		// ever.
 		Connect time.Duration
-		// Window is how long the request's last byte may take to leave: an earlier attempt of a keyed request may have run,
-		// and repeats of it are known as such only inside the class's window. 0 = no such bound.
+		// Window is how long the request's last byte may take to leave: an earlier attempt of a keyed request
+		// may have run, and repeats of it are known as such only inside the class's window. 0 = no such
+		// bound.
 		Window time.Duration
 	}
 	// Refuse is a final answer: not now, trying again after Wait is harmless.
@@ -281,11 +284,13 @@
 		Request RequestID
 		Wait    time.Duration
 		HandUp  bool // the client should not try again by itself but tell its user, who may
+		Reason  Reason
 	}
 	// Fail is a final answer that promises nothing about effects.
 	Fail struct {
 		Request RequestID
 		Earlier bool // this try was not begun, since an earlier one of its client may have run
+		Reason  Reason
 	}
 	// Cancel calls an attempt off.
 	Cancel struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -152,7 +152,7 @@
 		r.ending = true // what still comes is refused too
 		for _, id := range slices.Sorted(maps.Keys(r.reqs)) {
 			if q := r.reqs[id]; !q.ended && !q.started {
-				r.finish(q, r.no(q, 0))
+				r.finish(q, r.no(q, 0, FrontEnding))
 			}
 		}
 	case ClientGone:
@@ -299,10 +299,13 @@
 	// Without its state a request is read anew, where attempts are left for that and the writing.
 	last := r.set.WritersRead && len(q.att)+2 > r.set.MaxAttempts
 	waits := a.write && q.reader != nil && (!ev.NoState || last)
+	reason := r.exhausted(q)
+	if reason == NoReason && q.ran && (q.class.Effect == Unsafe || q.class.Effect == Keyed && !waits) {
+		reason = MayHaveRun
+	}
 	switch {
-	case r.now >= q.Due || len(q.att) >= r.set.MaxAttempts || r.jammed(q), q.ran && q.class.Effect == Unsafe,
-		q.ran && q.class.Effect == Keyed && !waits:
-		r.finish(q, r.no(q, len(r.held)))
+	case reason != NoReason:
+		r.finish(q, r.no(q, len(r.held), reason))
 	case waits:
 		if !ev.Result.NeverRan() || ev.Result == Turned { // the writer had it: the state was not just waiting
 			q.stateAt = r.now
@@ -314,16 +317,29 @@
 	}
 }
 
+// exhausted tells why no further attempt of q can be of use; NoReason: one can.
+func (r *Router) exhausted(q *request) Reason {
+	switch {
+	case r.now >= q.Due:
+		return DeadlineNear
+	case len(q.att) >= r.set.MaxAttempts:
+		return NoAttemptLeft
+	case r.jammed(q):
+		return AimMissed
+	}
+	return NoReason
+}
+
 // no is the final answer to a request that is given up: a refusal where trying again is harmless, else a
 // failure. A client's own repeat of an unsafe request can't be told from one after a lost answer, and is
 // failed on arrival; so a refusal of one is handed up by the client, and its user asks anew.
-func (r *Router) no(q *request, waiting int) Action {
+func (r *Router) no(q *request, waiting int, reason Reason) Action {
 	risky := q.ran || slices.ContainsFunc(q.att, func(a attempt) bool { return a.out && a.write })
 	if risky && (q.class.Effect == Unsafe || q.class.Effect == Keyed && q.class.Group != GroupAll) {
-		return Fail{q.ID, false}
+		return Fail{q.ID, false, reason}
 	}
 	wait := min(max(pauseLeast, time.Duration(waiting)*10*time.Millisecond), r.set.MaxWait)
-	return Refuse{q.ID, wait, q.class.Effect == Unsafe}
+	return Refuse{q.ID, wait, q.class.Effect == Unsafe, reason}
 }
 
 // finish is the one place where a request ends. It answers, calls off what is out and lets go of what is
--- a/choice/placing.go
+++ b/choice/placing.go
@@ -194,11 +194,19 @@
 // counts from the read, or from the last word of a writer: while connections fail to come up the state waits.
 func (r *Router) place(q *request) {
 	s, waited := r.writer(q, false), r.now-q.stateAt
+	reason := r.exhausted(q)
 	switch {
-	case len(q.att) >= r.set.MaxAttempts || r.now+margin >= q.Due || r.jammed(q),
-		waited > r.set.ReleaseWithin*(connects-1)/connects,
-		s == nil && waited >= time.Duration(parkPart*float64(r.set.ReleaseWithin)):
-		r.finish(q, r.no(q, len(r.held)))
+	case reason != NoReason:
+	case r.now+margin >= q.Due:
+		reason = DeadlineNear
+	case waited > r.set.ReleaseWithin*(connects-1)/connects:
+		reason = StateExpired
+	case s == nil && waited >= time.Duration(parkPart*float64(r.set.ReleaseWithin)):
+		reason = NoWriter
+	}
+	switch {
+	case reason != NoReason:
+		r.finish(q, r.no(q, len(r.held), reason))
 	case s != nil:
 		r.send(q, s, true)
 	default:
--- a/choice/state.go
+++ b/choice/state.go
@@ -23,7 +23,7 @@
 	todo         []*request     // used again by dispatch
 	ages         due            // held requests by arrival
 	limits       []due          // by class: by the time at which the aim or the client's time ends
-	stale        bool           // room may have grown, or the order of servers changed: all held are tried again
+	stale        bool           // room or the order of servers may have changed: all held are tried again
 	shape        uint64         // changes with the order in which servers are asked
 	shapeOf      uint64         // the shape for which homeCount holds
 	homeCount    map[uint64]int // homes of each key that has more than one
@@ -160,7 +160,8 @@
 	askedAt uint64        // ... in this shape; 0 = never
 }
 
-// window is how long a keyed request of which an attempt may have run may still be sent; 0 where nothing bounds that.
+// window is how long a keyed request of which an attempt may have run may still be sent; 0 where nothing
+// bounds that.
 func (q *request) window(now time.Duration) time.Duration {
 	if !q.ran || q.class.Effect != Keyed {
 		return 0
@@ -350,7 +351,9 @@
 // mutes finds the classes to which each server has been silent, though others may well be answered there.
 func (r *Router) mutes() {
 	for _, s := range r.servers {
-		s.asked = slices.DeleteFunc(s.asked, func(w word) bool { return !w.attempt().out || !w.attempt().quiet })
+		s.asked = slices.DeleteFunc(s.asked, func(w word) bool {
+			return !w.attempt().out || !w.attempt().quiet
+		})
 		if len(s.asked) == 0 && s.mute == nil {
 			continue
 		}
@@ -451,16 +454,17 @@
 	}
 }
 
-// compare takes the time to a first token, or the time without one, at a mixed server against what a reader and a writer
-// would have taken by their means.
+// compare takes the time to a first token, or the time without one, at a mixed server against what a reader
+// and a writer would have taken by their means.
 func (r *Router) compare(a *attempt, ahead float64, took time.Duration) {
 	if a.s.role == Mixed && ahead > 0 {
 		r.mixedSlow += 0.2 * (took.Seconds()/(ahead*r.readPace+r.firstTime) - r.mixedSlow)
 	}
 }
 
-// forget drops servers that have been off the list for goneFor and hold no attempt: names that never come back,
-// as those of rolled pods, would cost memory and time for ever. One that comes back sooner keeps its past.
+// forget drops servers that have been off the list for goneFor and hold no attempt: names that never come
+// back, as those of rolled pods, would cost memory and time for ever. One that comes back sooner keeps its
+// past.
 func (r *Router) forget() {
 	r.servers = slices.DeleteFunc(r.servers, func(s *server) bool {
 		if s.State == Gone && s.goneAt == 0 {
