--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -138,6 +138,9 @@
 	load  []float64
 	up    bool // a connection was there to send it on
 	sent  bool // the engine may act on what was accepted of the request
+
+	began    time.Time // under mu, as progress
+	progress Progress
 }
 
 // Cancel ends the attempt; its outcome is still reported.
@@ -220,6 +223,7 @@
 	if a.cancelled() || !s.IsOpen() || call.over() || call.expired() {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: errShut})
 	}
+	a.start()
 	up := call.sendBy()
 	if call.Connect > 0 {
 		up = soon(call.Connect, up)
@@ -241,8 +245,12 @@
 		return fail(k, a.ended(err))
 	}
 	a.up = true
+	a.advance(func(p *Progress, since time.Duration) { p.Kept, p.Connected = k.reused, since })
 	n, err := c.transmit(a, s, k, call)
 	a.sent = n > 0 && (!c.WholeSent || err == nil)
+	if err == nil {
+		a.advance(func(p *Progress, since time.Duration) { p.Written = since })
+	}
 	if errors.Is(err, errShut) {
 		return fail(k, Outcome{Result: choice.NotSent, Err: err})
 	}
@@ -263,6 +271,7 @@
 	if err != nil {
 		return fail(k, a.ended(err))
 	}
+	a.advance(func(p *Progress, since time.Duration) { p.Answered = since })
 	s.lastAnswer.Store(time.Now().UnixNano())
 	return k, resp, nil
 }
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -131,6 +131,9 @@
 	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, 4096)}, nil
 }
 
+// Connected is the number of connections to engines that are open or being opened.
+func (c *Client) Connected() int64 { return c.all.Load() }
+
 // makeRoom closes the connection that has been idle longest at any server.
 func (c *Client) makeRoom() bool {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/engine/progress.go
@@ -0,0 +1,45 @@
+package engine
+
+import (
+	"time"
+
+	"go.uber.org/zap/zapcore"
+)
+
+// Progress is how far an attempt came, for logs. Times count from the attempt's start; 0 = it did not come so far.
+type Progress struct {
+	Kept      bool          // it was sent on a connection that had been used before
+	Connected time.Duration // a connection was there
+	Written   time.Duration // the request's last byte was handed to the system, which does not tell that it arrived
+	Answered  time.Duration // the head of an answer was here
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (p Progress) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddBool("kept_connection", p.Kept)
+	enc.AddDuration("connected", p.Connected)
+	enc.AddDuration("written", p.Written)
+	enc.AddDuration("answered", p.Answered)
+	return nil
+}
+
+// Progress tells how far the attempt has come.
+func (a *Attempt) Progress() Progress {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.progress
+}
+
+// start notes when the attempt began.
+func (a *Attempt) start() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.began = time.Now()
+}
+
+// advance notes a step of the attempt.
+func (a *Attempt) advance(step func(p *Progress, since time.Duration)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	step(&a.progress, max(time.Since(a.began), 1))
+}
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -31,8 +31,9 @@
 	idleSince atomic.Int64 // between requests since, as Unix time in nanoseconds; 0 = it is not; or evicted
 	used      bool         // a request came; under f.mu
 	made      time.Time
-	flooded   bool // sent more while a request was open; by its goroutine
-	answered  bool // something was written on it; by whoever writes
+	flooded   bool   // sent more while a request was open; by its goroutine
+	answered  bool   // something was written on it; by whoever writes
+	closing   string // why it is closed, for metrics; by its goroutine
 	deadline  sync.Mutex
 	cut       bool // reads end at once, for good; under deadline
 	fl        atomic.Pointer[flight]
@@ -117,15 +118,52 @@
 	for {
 		req, err := c.next()
 		if err != nil {
+			c.closing = closeReason(err)
 			c.complain(err)
 			return
 		}
 		if !c.handle(req) {
+			c.closing = closeAnswered
 			return
 		}
 	}
 }
 
+// Why a client's connection was closed, as a label.
+const (
+	closeAnswered  = "after an answer"
+	closeClient    = "by the client"
+	closeEvicted   = "to make room"
+	closeIdle      = "idle"
+	closeEnding    = "front ending"
+	closeMalformed = "malformed request"
+	closeSlow      = "request not whole in time"
+)
+
+var (
+	errEvicted = errors.New("front: the connection was closed to make room")
+	errIdle    = errors.New("front: no request came in time")
+	errEnding  = errors.New("front: no request came before the front ended")
+)
+
+// closeReason is the label for a connection on which next failed with err.
+func closeReason(err error) string {
+	var malformed *http1.Error
+	switch {
+	case errors.Is(err, errEvicted):
+		return closeEvicted
+	case errors.Is(err, errIdle):
+		return closeIdle
+	case errors.Is(err, errEnding):
+		return closeEnding
+	case errors.As(err, &malformed):
+		return closeMalformed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return closeSlow
+	}
+	return closeClient
+}
+
 // end closes the connection. Closing over unread bytes resets a connection, and a reset takes with it what the system still
 // holds of an answer. So once something was answered, or the front ends, the sending side is closed first, and what the
 // client still sends is read and dropped, up to a bound in bytes and time.
@@ -156,12 +194,19 @@
 		_, err = c.br.Peek(1)
 	}
 	if !c.resume() {
-		return nil, io.EOF
+		return nil, errEvicted
 	}
-	if c.f.draining.Load() && c.setReadDeadline(c.f.look()) == nil {
+	draining := c.f.draining.Load()
+	if draining && c.setReadDeadline(c.f.look()) == nil {
 		_, err = c.br.Peek(1)
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+	case draining:
+		return nil, errEnding
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, errIdle
+	default:
 		return nil, io.EOF
 	}
 	if !http1.HeadBuffered(c.br) {
@@ -381,7 +426,7 @@
 	f.loop.tell(fl)
 	left := c.await(fl, backstop)
 	if left {
-		fl.result = "gone"
+		fl.result, fl.reason = "gone", reasonLeft
 	}
 	fl.report(f)
 	if left {
@@ -404,7 +449,7 @@
 			<-fl.done
 			return false
 		case err == nil && c.f.OneByOne: // no client that waits for its answer sends this
-			if fl.finish(Answer{Status: oneByOne.Status, Body: oneByOne.JSON()}) {
+			if fl.finish(Answer{Status: oneByOne.Status, Body: oneByOne.JSON(), reason: reasonPipelined}) {
 				fl.keep = false
 				c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
 				return false
@@ -454,12 +499,12 @@
 	now := time.Now()
 	switch {
 	case fl.state.Load() == streaming && !fl.last.IsZero() && !now.Before(fl.last):
-		if fl.settle(streaming, failure(fl)) { // a whole answer that is not whole in the client's time
+		if fl.settle(streaming, failure(fl, reasonLateWhole)) { // a whole answer that is not whole in the client's time
 			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
 			c.callOff(fl)
 		}
 	case fl.state.Load() == open && !now.Before(backstop):
-		if fl.finish(failure(fl)) {
+		if fl.finish(failure(fl, reasonBackstop)) {
 			c.f.m.Backstops.Inc()
 			c.f.log.Error("no decision came in the client's time", zap.String("id", fl.title()))
 			c.f.loop.post(item{ev: choice.ClientGone{Request: fl.id}})
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -47,6 +47,7 @@
 	done   chan struct{} // closed once the answer is set or the stream has ended
 	answer Answer        // set before done is closed, by the owner of the answer
 	result string        // for the log, as answer
+	reason string        // why it was not served, for the log, as answer
 	events atomic.Int64  // of the stream
 	first  atomic.Int64  // nanoseconds from taken to the first token
 
@@ -57,8 +58,9 @@
 	// owned by the loop
 	out     int
 	kv      json.RawMessage
-	after   *Answer // set once out is 0: see refuse
-	mayHold bool    // the module wants what it may hold released
+	held    readState // what a reader holds for it, as far as is known
+	after   *Answer   // set once out is 0: see refuse
+	mayHold bool      // the module wants what it may hold released
 	// releasing is closed once what an attempt may have left was released; the next one waits for it. nil: nothing is.
 	releasing <-chan struct{}
 }
@@ -70,22 +72,23 @@
 	wait    time.Duration // with a refusal
 	noRetry bool
 	id      string // X-Request-Id; "" where no flight was made
+	reason  string // why it is not served, for the log and metrics; "" where it is
 }
 
 func refusal(a choice.Refuse) Answer {
 	e := &api.Error{Status: 429, Type: "rate_limit_error", Code: "busy", Message: "not now; trying again after the told wait is harmless"}
-	return Answer{Status: 429, Body: e.JSON(), wait: a.Wait, noRetry: a.HandUp}
+	return Answer{Status: 429, Body: e.JSON(), wait: a.Wait, noRetry: a.HandUp, reason: a.Reason.String()}
 }
 
 // repeated answers a repeat that was not begun.
 func repeated() Answer {
 	e := &api.Error{Status: 502, Type: "server_error", Code: "earlier_try_may_have_run", Message: "the client repeated this request by itself " +
 		"(X-Stainless-Retry-Count), and an earlier try may have run; this one did not. Find out whether it ran before asking anew"}
-	return Answer{Status: e.Status, Body: e.JSON(), noRetry: true}
+	return Answer{Status: e.Status, Body: e.JSON(), noRetry: true, reason: choice.EarlierTry.String()}
 }
 
 // failure promises nothing about effects: where one may have happened, SDKs are told not to retry by themselves.
-func failure(fl *flight) Answer {
+func failure(fl *flight, reason string) Answer {
 	e := &api.Error{Status: 502, Type: "server_error", Code: "failed", Message: "the request failed; it may have run"}
 	if fl.class.Effect == choice.Safe {
 		e.Message = "the request failed; it is safe to try again"
@@ -93,9 +96,18 @@
 	if !time.Now().Before(fl.due) {
 		e.Status, e.Code = 504, "timeout"
 	}
-	return Answer{Status: e.Status, Body: e.JSON(), noRetry: fl.class.Effect != choice.Safe}
+	return Answer{Status: e.Status, Body: e.JSON(), noRetry: fl.class.Effect != choice.Safe, reason: reason}
 }
 
+// Reasons that the front itself finds; those of the module are choice.Reason's.
+const (
+	reasonBroken    = "stream broke"
+	reasonLeft      = "client closed its connection"
+	reasonPipelined = "client sent more before its answer"
+	reasonLateWhole = "answer not whole in time"
+	reasonBackstop  = "no decision in time"
+)
+
 // title is what the request goes by in answers and logs.
 func (fl *flight) title() string {
 	if fl.name != "" {
@@ -135,7 +147,7 @@
 	if !fl.state.CompareAndSwap(from, answered) {
 		return false
 	}
-	fl.answer = a
+	fl.answer, fl.reason = a, a.reason
 	switch {
 	case a.Status == 429:
 		fl.result = "refused"
@@ -218,6 +230,9 @@
 	a.resultMu.Lock()
 	a.result, a.took = resultNames[out.Result], took
 	a.resultMu.Unlock()
+	if out.Result != choice.Served && out.Result != choice.ReadDone {
+		a.logAttempt(l, out, took)
+	}
 	over := a.finish(out)
 	a.unsent = out.Result.NeverRan()
 	a.unclear = !a.write && !a.unsent && out.Result != choice.ReadDone
@@ -226,7 +241,7 @@
 		l.work.Add(1)
 		go func() {
 			defer l.work.Done()
-			a.release(l)
+			a.release(l, readState{})
 		}()
 	}
 	l.post(item{kv: out.KV, ev: choice.Outcome{Request: a.fl.id, Attempt: a.n, Server: a.srv.ID, Elapsed: took, Over: over,
@@ -234,9 +249,9 @@
 }
 
 // release tells the reader to release the state of this attempt, which has ended.
-func (a *attempt) release(l *loop) {
+func (a *attempt) release(l *loop, held readState) {
 	if !a.unsent && l.releases {
-		l.releaseAtOne(a.id, []*engine.Server{a.srv})
+		l.releaseAtOne(release{a.id, []*engine.Server{a.srv}, held})
 	}
 }
 
@@ -253,7 +268,7 @@
 	if fl.whole != nil {
 		body, err := fl.whole.JSON()
 		if out.Result != choice.Served || err != nil {
-			fl.settle(streaming, failure(fl))
+			fl.settle(streaming, failure(fl, reasonBroken))
 			return true
 		}
 		fl.settle(streaming, Answer{Status: 200, Body: body})
@@ -272,7 +287,7 @@
 	a.takeFrame()
 	b := a.out // with the head, where no event followed it
 	if out.Result != choice.Served {
-		fl.result = "broken"
+		fl.result, fl.reason = "broken", reasonBroken
 	}
 	if out.Result != choice.Served && !fl.to.f.CutBroken {
 		e := &api.Error{Type: "server_error", Code: "stream_broken", Message: "the stream broke; it may have run on"}
@@ -403,6 +418,9 @@
 // report is the one log line of a request's final answer.
 func (fl *flight) report(f *Front) {
 	f.m.Answers.WithLabelValues(fl.class.Name, fl.result).Inc()
+	if fl.reason != "" {
+		f.m.NotServed.WithLabelValues(fl.result, fl.reason).Inc()
+	}
 	if d := fl.first.Load(); d > 0 {
 		f.m.FirstToken.WithLabelValues(fl.class.Name).Observe(time.Duration(d).Seconds())
 	}
@@ -425,7 +443,7 @@
 		a.resultMu.Unlock()
 	}
 	fl.mu.Unlock()
-	ce.Write(zap.String("id", fl.title()), zap.String("class", fl.class.Name), zap.Int("status", fl.answer.Status),
+	ce.Write(zap.String("id", fl.title()), zap.String("class", fl.class.Name), zap.Int("status", fl.answer.Status), zap.String("reason", fl.reason),
 		zap.Int("prompt_tokens", int(math.Round(fl.ask.PromptLen))), zap.Duration("first_token", time.Duration(fl.first.Load())),
 		zap.Duration("took", time.Since(fl.taken)), zap.Strings("attempts", trail),
 		zap.String("tenant", f.tenant(fl.ask.Tenant)), zap.String("session", strconv.FormatUint(fl.ask.Session, 16)),
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -256,6 +256,7 @@
 		delete(f.conns, c)
 		f.mu.Unlock()
 		f.m.Connections.Dec()
+		f.m.Closed.WithLabelValues(c.closing).Inc()
 	}()
 }
 
@@ -319,6 +320,13 @@
 	f.loop.close()
 }
 
+// connections is the number of clients' connections open.
+func (f *Front) connections() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns)
+}
+
 // wideID names an attempt over all fronts and restarts.
 func (f *Front) wideID(id choice.RequestID, attempt int) string {
 	b := append(make([]byte, 0, len(f.run)+16), f.run...)
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -21,6 +21,7 @@
 	fl   *flight // with a Request
 	kv   []byte  // with the Outcome of a read
 	list *register.Update
+	look bool          // log what is held
 	stop bool          // end the loop once no flight is left
 	done chan struct{} // closed once the module has had its say
 }
@@ -55,6 +56,7 @@
 	touched []*flight      // that this round may have ended
 	sweep   bool           // a list came in this round
 	ending  bool
+	status  time.Time                               // of the last status line
 	ends    [2][len(resultNames)]prometheus.Counter // attempts that ended: reads, writes
 }
 
@@ -192,6 +194,10 @@
 		l.touched = append(l.touched, it.fl)
 	case choice.ClientGone:
 		l.flight(ev.Request)
+	case choice.First:
+		if fl := l.flights[ev.Request]; fl != nil {
+			l.endsState(fl, stateFetched)
+		}
 	case choice.Outcome:
 		if fl := l.flight(ev.Request); fl != nil {
 			l.ended(fl, &ev, it)
@@ -200,6 +206,9 @@
 	switch {
 	case it.list != nil:
 		return l.list(it.list)
+	case it.look:
+		l.look()
+		return nil
 	case it.stop:
 		l.ending = true
 		for _, fl := range l.flights {
@@ -226,6 +235,10 @@
 	fl.out--
 	if ev.Result == choice.ReadDone {
 		fl.kv = it.kv
+		l.holds(fl, fl.attempts[ev.Attempt].srv.Name)
+	}
+	if ev.NoState {
+		l.endsState(fl, stateGone)
 	}
 	if fl.out == 0 && fl.after != nil {
 		fl.finish(*fl.after)
@@ -256,7 +269,7 @@
 			if a.Earlier {
 				fl.finish(repeated())
 			} else {
-				fl.finish(failure(fl))
+				fl.finish(failure(fl, a.Reason.String()))
 			}
 		}
 	case choice.Cancel:
@@ -339,14 +352,15 @@
 	return a
 }
 
-// sweepIdle closes connections to engines that have rested for long.
+// sweepIdle closes connections to engines that have rested for long, and has the loop look at what is held.
 func (l *loop) sweepIdle() {
-	t := time.NewTicker(time.Second)
+	t := time.NewTicker(lookEvery)
 	defer t.Stop()
 	for {
 		select {
 		case <-t.C:
 			l.client.Sweep()
+			l.post(item{look: true})
 		case <-l.done:
 			return
 		}
--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -35,11 +35,15 @@
 			continue
 		}
 		att.released = true
+		held := readState{}
+		if att.srv.Name == fl.held.reader {
+			held, fl.held = fl.held, held
+		}
 		l.work.Add(1)
 		go func() {
 			defer l.work.Done()
 			<-att.ended
-			att.release(l)
+			att.release(l, held)
 		}()
 	}
 }
@@ -58,13 +62,14 @@
 	last.released = true
 	done := make(chan struct{})
 	fl.releasing = done
-	l.releaseAt(fl.name, l.releaseOrder([]*engine.Server{last.srv}), func() { close(done) })
+	l.releaseAt(release{fl.name, l.releaseOrder([]*engine.Server{last.srv}), readState{}}, func() { close(done) })
 }
 
 // releaseAll releases what a flight that ends may have left anywhere: the module asked for it, or a read of which nobody knows
 // how it ended came before the one that was written from.
 func (l *loop) releaseAll(fl *flight) {
 	if !l.client.ByRequest || !l.releases {
+		l.endsState(fl, stateLeft)
 		return
 	}
 	var holders []*engine.Server // the latest first
@@ -75,8 +80,10 @@
 		}
 	}
 	if fl.mayHold && len(holders) > 0 {
-		l.releaseAt(fl.name, l.releaseOrder(holders), func() {})
+		l.releaseAt(release{fl.name, l.releaseOrder(holders), fl.held}, func() {})
+		return
 	}
+	l.endsState(fl, stateFetched) // by a stream whose First was not heard of before its end
 }
 
 // releaseOrder is in which order engines are asked to release: those that hold the state, then the open ones that answered anything
@@ -93,20 +100,28 @@
 	return order[:min(len(order), releaseTargets)]
 }
 
+// release is what engines are asked to release.
+type release struct {
+	id      string           // of the request, or of the attempt
+	servers []*engine.Server // in the order in which they are asked
+	held    readState        // what is known of it
+}
+
 // releaseAt releases in a goroutine of its own and calls done after that.
-func (l *loop) releaseAt(id string, servers []*engine.Server, done func()) {
+func (l *loop) releaseAt(r release, done func()) {
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
 		defer done()
-		l.releaseAtOne(id, servers)
+		l.releaseAtOne(r)
 	}()
 }
 
-// releaseAtOne has one of the servers release what id holds. Several may be lost, and each takes long to show it, so the next one is
+// releaseAtOne has one of the servers release. Several may be lost, and each takes long to show it, so the next one is
 // asked whenever the ones before have said nothing for a part of the time, or have failed.
-func (l *loop) releaseAtOne(id string, servers []*engine.Server) {
-	deadline := time.Now().Add(l.releaseTime())
+func (l *loop) releaseAtOne(r release) {
+	servers, began := r.servers, time.Now()
+	deadline := began.Add(l.releaseTime())
 	results := make(chan error, len(servers))
 	calls := make([]engine.Attempt, len(servers))
 	err, asked, out := errNoEngine, 0, 0
@@ -114,7 +129,7 @@
 		if asked < len(servers) {
 			call, server := &calls[asked], servers[asked]
 			asked, out = asked+1, out+1
-			go func() { results <- l.client.Release(call, server, id, deadline) }()
+			go func() { results <- l.client.Release(call, server, r.id, deadline) }()
 		}
 		wait := time.Until(deadline) + time.Second // Release ends by itself
 		if asked < len(servers) {
@@ -135,12 +150,24 @@
 	for ; out > 0; out-- {
 		<-results
 	}
-	result := "done"
+	l.released(r, asked, time.Since(began), err)
+}
+
+// released logs and counts how a release ended.
+func (l *loop) released(r release, asked int, took time.Duration, err error) {
+	fields := []zap.Field{zap.String("request", r.id), zap.Int("engines_asked", asked), zap.Duration("took", took)}
+	if !r.held.since.IsZero() {
+		fields = append(fields, zap.String("reader", r.held.reader), zap.Duration("held_for", time.Since(r.held.since)))
+	}
 	if err != nil {
-		result = "failed"
-		l.f.log.Warn("read state not released", zap.String("request", id), zap.Int("engines_asked", asked), zap.Error(err))
+		l.stateEnded(r.held, stateReleaseFailed)
+		l.f.m.Releases.WithLabelValues("failed").Inc()
+		l.f.log.Warn("read state not released", append(fields, zap.Error(err))...)
+		return
 	}
-	l.f.m.Releases.WithLabelValues(result).Inc()
+	l.stateEnded(r.held, stateReleased)
+	l.f.m.Releases.WithLabelValues("done").Inc()
+	l.f.log.Info("read state released", fields...)
 }
 
 func (l *loop) releaseTime() time.Duration {
--- a/internal/obs/obs.go
+++ b/internal/obs/obs.go
@@ -49,7 +49,11 @@
 	Lists       *prometheus.CounterVec
 	Engines     *prometheus.GaugeVec
 	Releases    *prometheus.CounterVec
-	Lost        *prometheus.CounterVec // requests that a stage was short of
+	StatesHeld  prometheus.Gauge
+	StateHeld   *prometheus.HistogramVec // by how its time ended
+	NotServed   *prometheus.CounterVec   // by result and reason
+	Closed      *prometheus.CounterVec   // clients' connections, by reason
+	Lost        *prometheus.CounterVec   // requests that a stage was short of
 }
 
 // LostName is the counter that a planner of roles reads, without the prefix.
@@ -77,16 +81,20 @@
 	m.Lists = counter("register_updates_total", "Updates of the list of engines, by scope.", "scope")
 	m.Releases = counter("releases_total", "Read states let go at engines, by result (done, failed).", "result")
 	m.Lost = counter(LostName, "Requests refused or failed before their first token, by the stage that they had not passed (read, write).", "stage")
+	m.NotServed = counter("not_served_total", "Requests that were not served, by result (refused, failed, broken, gone) and reason.", "result", "reason")
+	m.Closed = counter("client_connections_closed_total", "Client connections closed, by reason.", "reason")
+	m.StatesHeld = gauge("read_states_held", "Read states that wait at readers for a writer or a release, as far as the front knows.")
 	m.Connections = gauge("client_connections", "Client connections open.")
 	m.Open = gauge("open_requests", "Requests taken and not answered in full.")
 	m.Engines = prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "brackenbend_engines", Help: "Engines on the list, by role and state."}, []string{"role", "state"})
 	m.FirstToken = prometheus.NewHistogramVec(histogram("first_token_seconds", "From a request's end to its first token.", 0.01, 1.6, 20), []string{"class"})
+	m.StateHeld = prometheus.NewHistogramVec(histogram("read_state_held_seconds", "From a read's end until its state was fetched, gone, released, or its release failed.", 0.005, 1.6, 18), []string{"end"})
 	m.Step = prometheus.NewHistogram(histogram("decision_seconds", "One round of the decision loop.", 1e-6, 2, 20))
 	m.Queue = prometheus.NewHistogram(histogram("decision_events", "Events a round of the decision loop took.", 1, 2, 14))
 	backstops := prometheus.NewCounter(prometheus.CounterOpts{Name: "brackenbend_backstops_total",
 		Help: "Requests that were answered at the end of the client's time without a decision; each is a fault of the front."})
 	m.Backstops = backstops
-	m.reg.MustRegister(m.Engines, m.FirstToken, m.Step, m.Queue, backstops, collectors.NewGoCollector(),
+	m.reg.MustRegister(m.Engines, m.FirstToken, m.StateHeld, m.Step, m.Queue, backstops, collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	return m
 }
