--- a/cmd/brackenbend/main_test.go
+++ b/cmd/brackenbend/main_test.go
@@ -35,6 +35,9 @@
 	if f := strings.Fields(os.Getenv("BRACKENBEND_TEST_PROXY")); len(f) == 3 {
 		os.Exit(proxyMain(f[1], f[2], f[0] == "proxy2"))
 	}
+	if f := strings.Fields(os.Getenv("BRACKENBEND_TEST_ENGINE")); len(f) == 3 {
+		os.Exit(engineMain(f[0], f[1], f[2]))
+	}
 	os.Exit(m.Run())
 }
 
