Front, laboratory: engines told by each attempt's id get no release under a waiting write

Found on reading the fix again: the product's own engines release the state of an attempt's id at its reader, which can't see that a writer waits for it, so the module's new release would have taken the state of every write that waits longer than its time. Such a release is left out; the module asks again when the write ends otherwise than well.

--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -35,6 +35,9 @@
 		}
 		return
 	}
+	if fl.writeWaits() { // a reader that is told of its attempt's id can't see that a writer waits for the state
+		return
+	}
 	for _, att := range fl.attempts {
 		if att.write || att.released {
 			continue
@@ -67,6 +70,11 @@
 	return false
 }
 
+// writeWaits tells that a write is out which was not called off.
+func (fl *flight) writeWaits() bool {
+	return slices.ContainsFunc(fl.attempts, func(a *attempt) bool { return a.pending && a.write && !a.handle.Cancelled() })
+}
+
 // releaseNow releases what fl may hold. Its next attempt waits until that has ended: a release would take the state of the read
 // that follows, too.
 func (l *loop) releaseNow(fl *flight) {
--- a/internal/lab/fleet/front.go
+++ b/internal/lab/fleet/front.go
@@ -91,6 +91,7 @@
 	id       string
 	began    time.Duration
 	over     bool
+	off      bool // called off
 	unsent   bool
 	released bool
 }
@@ -340,7 +341,7 @@
 			x.callOff(fl, a.Attempt)
 		}
 	case choice.Release:
-		if fl := x.flights[a.Request]; fl != nil {
+		if fl := x.flights[a.Request]; fl != nil && !fl.writeWaits() {
 			for _, at := range fl.attempts {
 				x.letGo(at)
 			}
@@ -401,6 +402,7 @@
 
 func (x *front) callOff(fl *flight, n int) {
 	if !fl.attempts[n].over && !fl.attempts[n].unsent {
+		fl.attempts[n].off = true
 		x.cut(fl, n)
 		x.later(0, deed{x.run, func() { x.over(fl, n, choice.Cancelled, false, 0) }})
 	}
@@ -412,6 +414,11 @@
 	}
 }
 
+// writeWaits tells that a write is out which was not called off: a reader can't see that it waits for the state, so no release is sent.
+func (fl *flight) writeWaits() bool {
+	return slices.ContainsFunc(fl.attempts, func(at *attempt) bool { return at.write && !at.over && !at.off })
+}
+
 // letGo tells the reader to let go of what a read left, once the attempt has ended.
 func (x *front) letGo(at *attempt) {
 	if at.write || at.released {
