Front: a release that nobody took is given again, and rides on new connections after the first

Kept connections may be dead with no sign, and the only engine that runs may be asked on such a one; and after one round of calls that failed the state was given up. Now only the first call rides on a kept connection, the holder is asked again on a new one, and a release that failed is given again, at most ten rounds, while no later one covers it.

--- a/cmd/brackenbend/heldstate_test.go
+++ b/cmd/brackenbend/heldstate_test.go
@@ -14,17 +14,25 @@
 func TestReadStatesBehindSilentWrites(t *testing.T) {
 	const release = 500 * time.Millisecond
 	for name, c := range map[string]struct {
-		class string
-		lose  func(t *testing.T, f *processFleet)
+		class   string
+		readers int
+		lose    func(t *testing.T, f *processFleet)
 	}{
-		"writers are stopped, safe":   {"enquiry", stopWriters},
-		"writers are stopped, unsafe": {"order", stopWriters},
-		"a cut swallows all towards writers": {"enquiry", func(_ *testing.T, f *processFleet) {
+		"writers are stopped, safe":   {"enquiry", 2, stopWriters},
+		"writers are stopped, unsafe": {"order", 2, stopWriters},
+		"a cut swallows all towards writers": {"enquiry", 2, func(_ *testing.T, f *processFleet) {
 			for _, w := range f.writers {
 				w.proxy.swallow(true)
 			}
 		}},
-		"kept connections to writers fall silent": {"enquiry", func(t *testing.T, f *processFleet) {
+		"writers are stopped, kept connections to the reader fall silent": {"enquiry", 1, func(t *testing.T, f *processFleet) {
+			f.keepConnections(t)
+			stopWriters(t, f)
+			for _, r := range f.readers {
+				r.proxy.swallowAfterReply()
+			}
+		}},
+		"kept connections to writers fall silent": {"enquiry", 2, func(t *testing.T, f *processFleet) {
 			f.keepConnections(t)
 			for _, w := range f.writers {
 				w.proxy.swallow(false)
@@ -33,7 +41,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, fleetPlan{readers: 2, writers: 2, release: release})
+			f := newFleet(t, fleetPlan{readers: c.readers, writers: 2, release: release})
 			if status, _ := answer(t, f.ask(t, "warm", "enquiry")); status != 200 {
 				t.Fatalf("before: %d", status)
 			}
--- a/cmd/brackenbend/processes_test.go
+++ b/cmd/brackenbend/processes_test.go
@@ -87,6 +87,7 @@
 	net.Listener
 	mu     sync.Mutex
 	lost   bool                  // new connections are swallowed too
+	reply  bool                  // those that are open are, once the engine has answered on one
 	count  int                   // connections that came
 	silent map[net.Conn]struct{} // from the front node
 	open   map[net.Conn]struct{}
@@ -140,15 +141,15 @@
 		if err != nil {
 			return
 		}
-		p.mu.Lock()
-		_, silent := p.silent[near]
-		p.mu.Unlock()
-		if silent {
+		if p.isSilent(near) {
 			continue
 		}
 		if _, err := to.Write(b[:n]); err != nil {
 			return
 		}
+		if from != near {
+			p.replied()
+		}
 	}
 }
 
@@ -162,6 +163,30 @@
 	}
 }
 
+func (p *swallower) isSilent(near net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, silent := p.silent[near]
+	return silent
+}
+
+// swallowAfterReply makes the connections that are open silent as soon as the engine has answered once more on one of them.
+func (p *swallower) swallowAfterReply() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reply = true
+}
+
+func (p *swallower) replied() {
+	p.mu.Lock()
+	now := p.reply
+	p.reply = false
+	p.mu.Unlock()
+	if now {
+		p.swallow(false)
+	}
+}
+
 // made is how many connections the front node has made.
 func (p *swallower) made() int {
 	p.mu.Lock()
@@ -326,19 +351,27 @@
 
 // ask sends a request on a connection of its own.
 func (f *processFleet) ask(t *testing.T, id, class string) net.Conn {
+	t.Helper()
+	return f.askIn(t, "7f", id, class)
+}
+
+// askIn sends a request of a session.
+func (f *processFleet) askIn(t *testing.T, session, id, class string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", f.address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Key: 7f\r\nReq-Deadline-Ms: 8000\r\n"+
-		"Req-Extra: prompt_len=20,max_out=8\r\nContent-Length: 2\r\n\r\n{}", id, class)
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Key: %s\r\nReq-Deadline-Ms: 8000\r\n"+
+		"Req-Extra: prompt_len=20,max_out=8\r\nContent-Length: 2\r\n\r\n{}", id, class, session)
 	return c
 }
 
 // keepConnections has requests served until one of them makes no new connection to an engine: those that are kept are used then.
-func (f *processFleet) keepConnections(t *testing.T) {
+func (f *processFleet) keepConnections(t *testing.T) { f.keepConnectionsAs(t, "keep") }
+
+func (f *processFleet) keepConnectionsAs(t *testing.T, session string) {
 	t.Helper()
 	made := func() (n int) {
 		for _, e := range append(f.readers, f.writers...) {
@@ -349,8 +382,8 @@
 	const tries = 100
 	for i := range tries {
 		before := made()
-		if status, _ := answer(t, f.ask(t, fmt.Sprintf("keep%d", i), "enquiry")); status != 200 {
-			t.Fatalf("keep%d: %d", i, status)
+		if status, _ := answer(t, f.askIn(t, session, fmt.Sprintf("%s-%d", session, i), "enquiry")); status != 200 {
+			t.Fatalf("%s-%d: %d", session, i, status)
 		}
 		if i > 0 && made() == before {
 			return
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -558,9 +558,9 @@
 // Releases tells that engines are told to let go of state.
 func (c *Client) Releases() bool { return c.Dialect.Release(&Server{}, "") != nil }
 
-// Release lets go of what id holds at s, trying while there is time and a was not cancelled. Without such a call in the dialect
-// it does nothing: engines let go by their own time-out.
-func (c *Client) Release(a *Attempt, s *Server, id string, deadline time.Time) error {
+// Release lets go of what id holds at s, trying while there is time and a was not cancelled; fresh asks for a new connection. Without
+// such a call in the dialect it does nothing: engines let go by their own time-out.
+func (c *Client) Release(a *Attempt, s *Server, id string, fresh bool, deadline time.Time) error {
 	message := c.Dialect.Release(s, id)
 	if message == nil {
 		return nil
@@ -570,15 +570,15 @@
 		if try > 0 && (time.Until(deadline) <= 0 || a.Cancelled()) {
 			break
 		}
-		if last = c.release(a, s, message, deadline); last == nil {
+		if last = c.release(a, s, message, fresh, deadline); last == nil {
 			return nil
 		}
 	}
 	return last
 }
 
-func (c *Client) release(a *Attempt, s *Server, message []byte, deadline time.Time) error {
-	k, err := c.take(a, s, false, deadline)
+func (c *Client) release(a *Attempt, s *Server, message []byte, fresh bool, deadline time.Time) error {
+	k, err := c.take(a, s, fresh, deadline)
 	if err != nil {
 		return err
 	}
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -61,6 +61,7 @@
 	held    readState // what a reader holds for it, as far as is known
 	after   *Answer   // set once out is 0: see refuse
 	mayHold bool      // the module wants what it may hold released
+	release *release  // the last one that was given for it
 	// releasing is closed once what an attempt may have left was released; the next one waits for it. nil: nothing is.
 	releasing <-chan struct{}
 }
@@ -252,7 +253,10 @@
 // release tells the reader to release the state of this attempt, which has ended.
 func (a *attempt) release(l *loop, held readState) {
 	if !a.unsent && l.releases {
-		l.releaseAtOne(release{a.id, []*engine.Server{a.srv}, held})
+		r := &release{id: a.id, servers: []*engine.Server{a.srv}, held: held}
+		if l.releaseAtOne(r) != nil {
+			l.stateEnded(held, stateReleaseFailed)
+		}
 	}
 }
 
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -17,13 +17,14 @@
 
 // item is something that happened, on its way to the loop.
 type item struct {
-	ev   choice.Event
-	fl   *flight // with a Request
-	kv   []byte  // with the Outcome of a read
-	list *register.Update
-	look bool          // log what is held
-	stop bool          // end the loop once no flight is left
-	done chan struct{} // closed once the module has had its say
+	ev    choice.Event
+	fl    *flight // with a Request
+	kv    []byte  // with the Outcome of a read
+	list  *register.Update
+	again *release      // that failed
+	look  bool          // log what is held
+	stop  bool          // end the loop once no flight is left
+	done  chan struct{} // closed once the module has had its say
 }
 
 // loop is the one goroutine that owns the Router. Nothing in it waits: connections and attempts run in
@@ -207,6 +208,9 @@
 	switch {
 	case it.list != nil:
 		return l.list(it.list)
+	case it.again != nil:
+		l.releaseAgain(it.again)
+		return nil
 	case it.look:
 		l.look()
 		return nil
--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -19,6 +19,7 @@
 const (
 	releaseTargets = 8  // engines that are asked to release what a request holds, at most
 	releaseSteps   = 10 // the next one is asked after this part of the release time without an answer
+	releaseRounds  = 10 // times that a release which failed is given anew, at most
 )
 
 var errNoEngine = errors.New("front: no engine to release at")
@@ -31,7 +32,7 @@
 	}
 	if fl.mayHold = true; l.client.ByRequest {
 		if !fl.endsSoon() {
-			l.releaseNow(fl)
+			l.releaseNow(fl, 0)
 		}
 		return
 	}
@@ -77,10 +78,10 @@
 
 // releaseNow releases what fl may hold. Its next attempt waits until that has ended: a release would take the state of the read
 // that follows, too.
-func (l *loop) releaseNow(fl *flight) {
+func (l *loop) releaseNow(fl *flight, rounds int) {
 	done := make(chan struct{})
 	fl.releasing = done
-	r := release{fl.name, l.releaseOrder(fl.holders()), fl.held}
+	r := &release{id: fl.name, servers: l.releaseOrder(fl.holders()), held: fl.held, flight: fl, rounds: rounds}
 	fl.held = readState{}
 	l.releaseAt(r, func() { close(done) })
 }
@@ -108,7 +109,7 @@
 		return
 	}
 	last.released = true
-	l.releaseNow(fl)
+	l.releaseNow(fl, 0)
 }
 
 // releaseAll releases what a flight that ends may have left anywhere: the module asked for it, or a read of which nobody knows
@@ -122,7 +123,7 @@
 		fl.mayHold = fl.mayHold || !a.write && !a.unsent && a.unclear && !a.released
 	}
 	if holders := fl.holders(); fl.mayHold && len(holders) > 0 {
-		l.releaseAt(release{fl.name, l.releaseOrder(holders), fl.held}, func() {})
+		l.releaseAt(&release{id: fl.name, servers: l.releaseOrder(holders), held: fl.held, flight: fl}, func() {})
 		return
 	}
 	l.endsState(fl, stateFetched) // by a stream whose First was not heard of before its end
@@ -147,34 +148,82 @@
 	id      string           // of the request, or of the attempt
 	servers []*engine.Server // in the order in which they are asked
 	held    readState        // what is known of it
+	flight  *flight          // whose state it is
+	rounds  int              // that have failed
 }
 
-// releaseAt releases in a goroutine of its own and calls done after that.
-func (l *loop) releaseAt(r release, done func()) {
+// releaseCall is one engine to be asked.
+type releaseCall struct {
+	server *engine.Server
+	fresh  bool // on a new connection
+}
+
+// calls are the engines in the order in which they are asked. Kept connections may be dead with no sign, so only the first call rides
+// on one; the engine that it went to, most likely the holder, is asked once more on a new one.
+func (r *release) calls() []releaseCall {
+	var calls []releaseCall
+	for i, s := range r.servers {
+		calls = append(calls, releaseCall{s, i > 0})
+		if i == min(1, len(r.servers)-1) {
+			calls = append(calls, releaseCall{r.servers[0], true})
+		}
+	}
+	return calls
+}
+
+// releaseAt releases in a goroutine of its own and calls done after that. What fails is given anew after a pause.
+func (l *loop) releaseAt(r *release, done func()) {
+	r.flight.release = r
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
-		defer done()
-		l.releaseAtOne(r)
+		err := l.releaseAtOne(r)
+		done()
+		if err != nil {
+			r.rounds++
+			time.AfterFunc(l.releaseTime()/2, func() { l.post(item{again: r}) })
+		}
 	}()
 }
 
+// releaseAgain gives a release anew that has failed: what an engine holds is owed until one takes the release. A request that goes on
+// has another release behind it, or a read whose state the old release would take.
+func (l *loop) releaseAgain(r *release) {
+	fl := r.flight
+	switch open := l.flights[fl.id] == fl; {
+	case fl.release != r: // a later one is given
+		l.stateEnded(r.held, stateReleaseFailed)
+	case l.ending || r.rounds > releaseRounds:
+		l.f.log.Error("read state given up", zap.String("request", r.id), zap.Int("rounds", r.rounds))
+		l.stateEnded(r.held, stateReleaseFailed)
+	case !open:
+		r.servers = l.releaseOrder(fl.holders())
+		l.releaseAt(r, func() {})
+	case fl.endsSoon():
+		fl.mayHold = true
+		l.stateEnded(r.held, stateReleaseFailed)
+	default:
+		fl.held = r.held
+		l.releaseNow(fl, r.rounds)
+	}
+}
+
 // releaseAtOne has one of the servers release. Several may be lost, and each takes long to show it, so the next one is
 // asked whenever the ones before have said nothing for a part of the time, or have failed.
-func (l *loop) releaseAtOne(r release) {
-	servers, began := r.servers, time.Now()
+func (l *loop) releaseAtOne(r *release) error {
+	calls, began := r.calls(), time.Now()
 	deadline := began.Add(l.releaseTime())
-	results := make(chan error, len(servers))
-	calls := make([]engine.Attempt, len(servers))
+	results := make(chan error, len(calls))
+	attempts := make([]engine.Attempt, len(calls))
 	err, asked, out := errNoEngine, 0, 0
-	for released := false; !released && (asked < len(servers) || out > 0); {
-		if asked < len(servers) {
-			call, server := &calls[asked], servers[asked]
+	for released := false; !released && (asked < len(calls) || out > 0); {
+		if asked < len(calls) {
+			attempt, call := &attempts[asked], calls[asked]
 			asked, out = asked+1, out+1
-			go func() { results <- l.client.Release(call, server, r.id, deadline) }()
+			go func() { results <- l.client.Release(attempt, call.server, r.id, call.fresh, deadline) }()
 		}
 		wait := time.Until(deadline) + time.Second // Release ends by itself
-		if asked < len(servers) {
+		if asked < len(calls) {
 			wait = l.releaseTime() / releaseSteps
 		}
 		timer := time.NewTimer(wait)
@@ -187,22 +236,22 @@
 		timer.Stop()
 	}
 	for i := range asked {
-		calls[i].Cancel()
+		attempts[i].Cancel()
 	}
 	for ; out > 0; out-- {
 		<-results
 	}
 	l.released(r, asked, time.Since(began), err)
+	return err
 }
 
 // released logs and counts how a release ended.
-func (l *loop) released(r release, asked int, took time.Duration, err error) {
-	fields := []zap.Field{zap.String("request", r.id), zap.Int("engines_asked", asked), zap.Duration("took", took)}
+func (l *loop) released(r *release, asked int, took time.Duration, err error) {
+	fields := []zap.Field{zap.String("request", r.id), zap.Int("calls", asked), zap.Int("rounds_before", r.rounds), zap.Duration("took", took)}
 	if !r.held.since.IsZero() {
 		fields = append(fields, zap.String("reader", r.held.reader), zap.Duration("held_for", time.Since(r.held.since)))
 	}
 	if err != nil {
-		l.stateEnded(r.held, stateReleaseFailed)
 		l.f.m.Releases.WithLabelValues("failed").Inc()
 		l.f.log.Warn("read state not released", append(fields, zap.Error(err))...)
 		return
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -62,6 +62,39 @@
 	}
 }
 
+// TestAReleaseThatFailedIsGivenAgain: no engine takes a release for some time, well beyond one round of calls. It is given again until
+// one does.
+func TestAReleaseThatFailedIsGivenAgain(t *testing.T) {
+	var mu sync.Mutex
+	failing, taken, begun := 20, make(chan struct{}), make(chan struct{})
+	engines := []*stub{newStub(t, "r1", "prefill", reads), newStub(t, "w1", "decode", func(_ *stub, _ http.ResponseWriter, q *http.Request) {
+		close(begun)
+		<-q.Context().Done()
+	})}
+	for _, e := range engines {
+		e.released = func(*http.Request) {
+			mu.Lock()
+			defer mu.Unlock()
+			if failing--; failing >= 0 {
+				panic(http.ErrAbortHandler)
+			}
+			if failing == -1 {
+				close(taken)
+			}
+		}
+	}
+	n, _ := start(t, setup{change: []string{`"Release":1000000`, `"Release":100000`}}, engines...)
+	c := dial(t, n)
+	c.send(t, message("aa01", "enquiry"))
+	<-begun
+	c.Close()
+	select {
+	case <-taken:
+	case <-time.After(10 * time.Second):
+		t.Error("the release was not given again")
+	}
+}
+
 // TestAnUnclearReadIsReleasedBeforeItsRequestWaits: a connection breaks under a read that may have ended well, and no reader is left
 // for another. The request waits, but what it may hold does not; it is served once a reader is back.
 func TestAnUnclearReadIsReleasedBeforeItsRequestWaits(t *testing.T) {
