Engines: what was lost on a kept connection is sent again on a new one

Ruled out: slow engines (the proxies saw no byte pass) and put-aside servers. Change: once an attempt was written on a kept connection with nothing heard, the further attempts of its request take new connections; a time-out on a kept connection closes the others kept towards that engine.

--- a/cmd/brackenbend/heldstate_test.go
+++ b/cmd/brackenbend/heldstate_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -78,6 +79,23 @@
 	}
 }
 
+// TestForgottenKeptConnections: what stands between forgets all connections that are kept, and says nothing of it. A request that was
+// lost on one of them is sent again on a new one, and is served.
+func TestForgottenKeptConnections(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, fleetPlan{readers: 3, writers: 2, release: time.Second})
+	f.keepConnections(t)
+	for i := range 3 { // kept ones to all readers
+		f.keepConnectionsAs(t, fmt.Sprintf("session%d", i))
+	}
+	for _, e := range append(f.readers, f.writers...) {
+		e.proxy.swallow(false)
+	}
+	if status, text := answer(t, f.ask(t, "lost", "enquiry")); status != 200 || text != fleetStream {
+		t.Errorf("%d %q", status, text)
+	}
+}
+
 // TestASlowWriterKeepsItsState: a write that has reached a writer which runs waits there longer than the release time. It is served by
 // that attempt; nothing is read or written again.
 func TestASlowWriterKeepsItsState(t *testing.T) {
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -74,6 +74,7 @@
 	Key      string // Idempotency-Key, empty = none
 	Body     []byte
 	Once     bool          // may run only once: rides on a connection of its own
+	Fresh    bool          // rides on a new connection
 	Connect  time.Duration // for a new connection to come up; 0 = Client.DialTime
 	Deadline time.Time     // for the first token, or the whole of a read
 	SendBy   time.Time     // for the last byte to be written; zero = no bound but Deadline
@@ -229,7 +230,7 @@
 	if call.Connect > 0 {
 		up = soon(call.Connect, up)
 	}
-	k, err := c.take(a, s, call.Once, up)
+	k, err := c.take(a, s, call.Once || call.Fresh, up)
 	if errors.Is(err, errTooMany) {
 		return fail(nil, Outcome{Result: choice.NotSent, Err: err})
 	}
@@ -266,8 +267,8 @@
 		return fail(k, a.ended(err))
 	}
 	resp, err := c.head(k, call.Deadline)
-	if k.reused && err != nil && k.br.Buffered() == 0 && broken(err) && !a.Cancelled() {
-		c.distrust()
+	if k.reused && err != nil && k.br.Buffered() == 0 && !a.Cancelled() {
+		c.lostOnKept(s, err)
 	}
 	if err != nil {
 		return fail(k, a.ended(err))
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -168,6 +169,18 @@
 	c.broke.Store(time.Now().UnixNano())
 }
 
+// lostOnKept draws the conclusions from a request that was written on a kept connection and of which nothing was heard. One that broke
+// says something of all; one on which nothing came in time may have been forgotten on the way, or its engine may be slow,
+// so the others to that engine are not trusted with a request.
+func (c *Client) lostOnKept(s *Server, err error) {
+	switch {
+	case broken(err):
+		c.distrust()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		s.Forget()
+	}
+}
+
 func (c *Client) distrusts() bool {
 	at := c.broke.Load()
 	return at != 0 && time.Now().UnixNano()-at < int64(c.IdleTime)
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -14,6 +14,9 @@
 	Answered  time.Duration // the head of an answer was here
 }
 
+// LostOnKept tells that the request was written on a kept connection and nothing came back: the connection may be dead with no sign.
+func (p Progress) LostOnKept() bool { return p.Kept && p.Written > 0 && p.Answered == 0 }
+
 // MarshalLogObject implements zapcore.ObjectMarshaler.
 func (p Progress) MarshalLogObject(enc zapcore.ObjectEncoder) error {
 	enc.AddBool("kept_connection", p.Kept)
--- a/internal/engine/rest_test.go
+++ b/internal/engine/rest_test.go
@@ -66,3 +66,37 @@
 		}
 	}
 }
+
+// TestAConnectionThatFellSilentTakesTheOthersWithIt: a request on a kept connection is not answered in time. It may never have arrived,
+// and so may what is sent on the other connections that are kept towards this engine: they are closed.
+func TestAConnectionThatFellSilentTakesTheOthersWithIt(t *testing.T) {
+	both := make(chan struct{}, 2)
+	s := peer(t, func(_ int, c *net.TCPConn) {
+		br := bufio.NewReader(c)
+		for n := 0; request(c, br); n++ {
+			if n > 0 {
+				continue // silent
+			}
+			both <- struct{}{}
+			for len(both) < cap(both) { // so that two connections are open at one time
+				time.Sleep(time.Millisecond)
+			}
+			fmt.Fprint(c, "HTTP/1.1 503 Full\r\nX-Brackenbend-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	c := testClient()
+	ask := func(wait time.Duration) Outcome {
+		return c.Read(&Attempt{}, s, Call{Path: "/v1/x", ID: "a", Body: []byte("{}"), Deadline: time.Now().Add(wait)})
+	}
+	first := make(chan Outcome)
+	go func() { first <- ask(20 * time.Second) }()
+	if a, b := ask(20*time.Second), <-first; a.Result != choice.Turned || b.Result != choice.Turned || s.Connections() != 2 {
+		t.Fatalf("%+v, %+v, %d connections", a, b, s.Connections())
+	}
+	if out := ask(50 * time.Millisecond); out.Result != choice.TimedOut {
+		t.Errorf("%+v", out)
+	}
+	if n := s.Connections(); n != 0 {
+		t.Errorf("%d connections are kept", n)
+	}
+}
--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -173,6 +173,7 @@
 	limit    time.Time
 	sendBy   time.Time // zero = no bound but limit
 	connect  time.Duration
+	fresh    bool // on a new connection: an earlier attempt was lost on a kept one
 	handle   engine.Attempt
 	began    time.Time
 	pending  bool // its outcome has not come; by the loop
@@ -208,7 +209,7 @@
 	if a.waitFor != nil {
 		<-a.waitFor
 	}
-	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Over: a.fl.abandoned}
+	call := engine.Call{Path: a.fl.path, ID: a.id, Key: a.fl.key, Deadline: a.limit, SendBy: a.sendBy, Connect: a.connect, Fresh: a.fresh, Over: a.fl.abandoned}
 	if bend := l.f.seam.Key; bend != nil {
 		call.Key = bend(call.Key)
 	}
--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -303,6 +303,7 @@
 	}
 	n := len(fl.attempts)
 	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{}), waitFor: fl.releasing}
+	att.fresh = slices.ContainsFunc(fl.attempts, func(a *attempt) bool { return a.handle.Progress().LostOnKept() })
 	if att.id == "" {
 		att.id = l.f.wideID(fl.id, n)
 	}
