Front: an unclear read is released before the request is read again, not only before it waits

Ruled out: releases that failed (none was asked for). Change: the release goes out before the next attempt, which waits for its end; engines of which nothing was heard go by their last answer, as all others do, and only readers that said that they hold the state are asked first.

--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -301,6 +301,7 @@
 		l.post(item{ev: choice.Outcome{Request: a.Request, Server: a.Server, Result: choice.NotSent}})
 		return
 	}
+	l.releaseUnclear(fl)
 	n := len(fl.attempts)
 	att := &attempt{fl: fl, n: n, srv: s.srv, write: s.srv.Role != choice.Reader, id: fl.name, connect: a.Connect, ended: make(chan struct{}), waitFor: fl.releasing}
 	att.fresh = slices.ContainsFunc(fl.attempts, func(a *attempt) bool { return a.handle.Progress().LostOnKept() })
--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -81,25 +81,29 @@
 func (l *loop) releaseNow(fl *flight, rounds int) {
 	done := make(chan struct{})
 	fl.releasing = done
-	r := &release{id: fl.name, servers: l.releaseOrder(fl.holders()), held: fl.held, flight: fl, rounds: rounds}
+	r := &release{id: fl.name, servers: l.releaseOrder(fl), held: fl.held, flight: fl, rounds: rounds}
 	fl.held = readState{}
 	l.releaseAt(r, func() { close(done) })
 }
 
-// holders are the readers that may hold state for fl, the latest first.
-func (fl *flight) holders() []*engine.Server {
-	var holders []*engine.Server
+// holders are the readers that may hold state for fl, the latest first: those that said so, and those of which nobody knows how the
+// read ended. The latter may be out of reach.
+func (fl *flight) holders() (told, unclear []*engine.Server) {
 	for _, a := range slices.Backward(fl.attempts) {
-		if !a.write && !a.unsent {
-			holders = append(holders, a.srv)
+		switch {
+		case a.write || a.unsent || slices.Contains(told, a.srv) || slices.Contains(unclear, a.srv):
+		case a.unclear:
+			unclear = append(unclear, a.srv)
+		default:
+			told = append(told, a.srv)
 		}
 	}
-	return holders
+	return told, unclear
 }
 
 // releaseUnclear releases what a flight that goes on may hold: its last attempt was a read of which nobody knows how it ended. The
-// request may wait for long before it is read again, and what it holds must not. The next attempt waits until the word was given,
-// which would take the state of the read that follows, too.
+// request may wait for long before it is read again, or that read may be sent and never arrive, and what it holds must not wait
+// for either. The next attempt begins when the release has ended, which would take the state of the read that follows, too.
 func (l *loop) releaseUnclear(fl *flight) {
 	if !l.client.ByRequest || !l.releases || len(fl.attempts) == 0 {
 		return
@@ -122,24 +126,24 @@
 	for _, a := range fl.attempts {
 		fl.mayHold = fl.mayHold || !a.write && !a.unsent && a.unclear && !a.released
 	}
-	if holders := fl.holders(); fl.mayHold && len(holders) > 0 {
-		l.releaseAt(&release{id: fl.name, servers: l.releaseOrder(holders), held: fl.held, flight: fl}, func() {})
+	if told, unclear := fl.holders(); fl.mayHold && len(told)+len(unclear) > 0 {
+		l.releaseAt(&release{id: fl.name, servers: l.releaseOrder(fl), held: fl.held, flight: fl}, func() {})
 		return
 	}
 	l.endsState(fl, stateFetched) // by a stream whose First was not heard of before its end
 }
 
 // releaseOrder is in which order engines are asked to release: those that hold the state, then the open ones that answered anything
-// last.
-func (l *loop) releaseOrder(holders []*engine.Server) []*engine.Server {
-	var others []*engine.Server
+// last. What nothing was heard of goes by its last answer, too: any engine that runs passes the release on.
+func (l *loop) releaseOrder(fl *flight) []*engine.Server {
+	told, others := fl.holders()
 	for _, s := range l.byID {
-		if s.srv.IsOpen() && !slices.Contains(holders, s.srv) {
+		if s.srv.IsOpen() && !slices.Contains(told, s.srv) && !slices.Contains(others, s.srv) {
 			others = append(others, s.srv)
 		}
 	}
-	slices.SortFunc(others, func(a, b *engine.Server) int { return cmp.Compare(b.LastAnswer(), a.LastAnswer()) })
-	order := append(holders, others...)
+	slices.SortStableFunc(others, func(a, b *engine.Server) int { return cmp.Compare(b.LastAnswer(), a.LastAnswer()) })
+	order := append(told, others...)
 	return order[:min(len(order), releaseTargets)]
 }
 
@@ -197,7 +201,7 @@
 		l.f.log.Error("read state given up", zap.String("request", r.id), zap.Int("rounds", r.rounds))
 		l.stateEnded(r.held, stateReleaseFailed)
 	case !open:
-		r.servers = l.releaseOrder(fl.holders())
+		r.servers = l.releaseOrder(fl)
 		l.releaseAt(r, func() {})
 	case fl.endsSoon():
 		fl.mayHold = true
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -124,6 +124,28 @@
 	}
 }
 
+// TestAnUnclearReadIsReleasedBeforeTheNextOne: a connection breaks under a read that may have ended well, and the request is read again
+// at once. The second read may never arrive, so what the first one left is released before it is sent.
+func TestAnUnclearReadIsReleasedBeforeTheNextOne(t *testing.T) {
+	w := newStub(t, "w1", "decode", writes)
+	tries := 0
+	r := newStub(t, "r1", "prefill", func(s *stub, rw http.ResponseWriter, q *http.Request) {
+		if tries++; tries == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		reads(s, rw, q)
+	})
+	n, _ := start(t, setup{}, r, w)
+	c := dial(t, n)
+	c.send(t, message("aa01", "order"))
+	if resp, text, whole := c.answer(t); resp.StatusCode != 200 || !whole {
+		t.Errorf("%d %q", resp.StatusCode, text)
+	}
+	if want := []string{"POST aa01", "DELETE aa01", "POST aa01"}; !slices.Equal(r.saw(), want) {
+		t.Errorf("the reader saw %q", r.saw())
+	}
+}
+
 // TestARestartedEngineIsAskedOnANewConnection: a process comes back under the same id and address; what was kept towards the old one
 // is not used, though nothing shows that it is of no use.
 func TestARestartedEngineIsAskedOnANewConnection(t *testing.T) {
