Front: a release behind a given-up write is held back for a moment and given once more

Found by random faults on real processes: a write that had arrived was given up, and the release reached its engine on another connection before it had seen the close. A release spares a state for which a write waits, so it did nothing, and the state stayed for good. No order holds between two connections; the 3 ms that unsafe work had was not there for safe work, and is no promise on a busy machine. Change: such a release waits for the settling time, and is given once more after a quarter of the release time where no read can follow it. Measured: the test, with an engine that sees the close after the release, fails without it.

--- a/internal/front/flight.go
+++ b/internal/front/flight.go
@@ -181,6 +181,7 @@
 	waitFor  <-chan struct{} // it begins once this is closed; nil = at once
 	unsent   bool            // set before ended is closed: the engine never ran it
 	unclear  bool            // so is this: it may have left a state that nobody was told of
+	givenUp  bool            // so is this: it is a write that this side ended, which its engine may not have seen yet
 	released bool            // by the loop
 	owns     bool            // the client's answer; set by Begin
 	post     func(item)
@@ -239,6 +240,7 @@
 	over := a.finish(out)
 	a.unsent = out.Result.NeverRan()
 	a.unclear = !a.write && !a.unsent && out.Result != choice.ReadDone
+	a.givenUp = a.write && (out.Result == choice.TimedOut || out.Result == choice.Cancelled)
 	close(a.ended)
 	if !a.write && out.Result != choice.ReadDone && !l.client.ByRequest { // a state that it may have left is known to nobody
 		l.work.Add(1)
--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -20,6 +20,7 @@
 	releaseTargets = 8  // engines that are asked to release what a request holds, at most
 	releaseSteps   = 10 // the next one is asked after this part of the release time without an answer
 	releaseRounds  = 10 // times that a release which failed is given anew, at most
+	releasePause   = 4  // after this part of the release time
 )
 
 var errNoEngine = errors.New("front: no engine to release at")
@@ -154,6 +155,7 @@
 	held    readState        // what is known of it
 	flight  *flight          // whose state it is
 	rounds  int              // that have failed
+	repeat  bool             // it is given a second time, since it may overtake the end of a write that was given up
 }
 
 // releaseCall is one engine to be asked.
@@ -176,22 +178,30 @@
 }
 
 // releaseAt releases in a goroutine of its own and calls done after that. What fails is given anew after a pause.
+//
+// A release spares a state for which a write waits. Where the last write was given up, its connection is closed, but no order holds
+// between two connections: the release waits for a moment, and is given once more where no read can follow it.
 func (l *loop) releaseAt(r *release, done func()) {
 	r.flight.release = r
+	attempts := r.flight.attempts
+	r.repeat = r.rounds == 0 && attempts[len(attempts)-1].givenUp
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
+		if r.repeat {
+			time.Sleep(l.client.Settle)
+		}
 		err := l.releaseAtOne(r)
 		done()
-		if err != nil {
+		if err != nil || r.repeat {
 			r.rounds++
-			time.AfterFunc(l.releaseTime()/2, func() { l.post(item{again: r}) })
+			time.AfterFunc(l.releaseTime()/releasePause, func() { l.post(item{again: r}) })
 		}
 	}()
 }
 
-// releaseAgain gives a release anew that has failed: what an engine holds is owed until one takes the release. A request that goes on
-// has another release behind it, or a read whose state the old release would take.
+// releaseAgain gives a release anew that has failed, or may have come too early: what an engine holds is owed until one takes the
+// release. A request that goes on has another release behind it, or a read whose state the old release would take.
 func (l *loop) releaseAgain(r *release) {
 	fl := r.flight
 	switch open := l.flights[fl.id] == fl; {
@@ -261,6 +271,7 @@
 		return
 	}
 	l.stateEnded(r.held, stateReleased)
+	r.held = readState{}
 	l.f.m.Releases.WithLabelValues("done").Inc()
 	l.f.log.Info("read state released", fields...)
 }
--- a/internal/node/release_test.go
+++ b/internal/node/release_test.go
@@ -95,6 +95,38 @@
 	}
 }
 
+// TestAReleaseThatOvertakesAGivenUpWrite: the client leaves, and the release reaches its engine before the writer has seen that its
+// connection was closed. The state, for which a write seems to wait, stays. The release is given once more.
+func TestAReleaseThatOvertakesAGivenUpWrite(t *testing.T) {
+	begun, overtaken, released := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	w := newStub(t, "w1", "decode", func(_ *stub, _ http.ResponseWriter, q *http.Request) {
+		close(begun)
+		<-q.Context().Done()
+		<-overtaken // it looks only now
+	})
+	r := newStub(t, "r1", "prefill", reads)
+	first, second := sync.OnceFunc(func() { close(overtaken) }), sync.OnceFunc(func() { close(released) })
+	r.released = func(*http.Request) {
+		select {
+		case <-overtaken:
+			second()
+		default:
+			first()
+		}
+	}
+	n, _ := start(t, setup{}, r, w)
+	c := dial(t, n)
+	c.send(t, message("aa01", "enquiry"))
+	<-begun
+	c.Close()
+	<-overtaken
+	select {
+	case <-released:
+	case <-time.After(1300 * time.Millisecond): // the release time and 0.3 s
+		t.Error("no release came after the write's end was seen")
+	}
+}
+
 // TestAnUnclearReadIsReleasedBeforeItsRequestWaits: a connection breaks under a read that may have ended well, and no reader is left
 // for another. The request waits, but what it may hold does not; it is served once a reader is back.
 func TestAnUnclearReadIsReleasedBeforeItsRequestWaits(t *testing.T) {
