--- a/internal/front/loop.go
+++ b/internal/front/loop.go
@@ -163,6 +163,7 @@
 				l.releaseUnclear(fl)
 				continue
 			}
+			fl.prompt = nil // its releases may be given for some time yet
 			l.releaseAll(fl)
 			delete(l.flights, fl.id)
 		}
--- a/internal/front/release.go
+++ b/internal/front/release.go
@@ -183,8 +183,8 @@
 // between two connections: the release waits for a moment, and is given once more where no read can follow it.
 func (l *loop) releaseAt(r *release, done func()) {
 	r.flight.release = r
-	attempts := r.flight.attempts
-	r.repeat = r.rounds == 0 && attempts[len(attempts)-1].givenUp
+	last := r.flight.attempts[len(r.flight.attempts)-1]
+	r.repeat = r.rounds == 0 && !last.pending && last.givenUp
 	l.work.Add(1)
 	go func() {
 		defer l.work.Done()
