Front: tests of the new counts and log lines; a connection is closed by whom it was

The label said after an answer for connections whose client had left or whose body could not be read; found by the new test. The process tests look for the lines that the incident lacked: which state was released, why the request ended, that an attempt was lost on a kept connection.

--- a/cmd/brackenbend/heldstate_test.go
+++ b/cmd/brackenbend/heldstate_test.go
@@ -53,7 +53,9 @@
 				t.Fatal("not read")
 			}
 			f.judgeHeld(t, read, release)
+			f.awaitLog(t, "read state released", "held", `"reader":"`+read.Engine+`"`)
 			client.Close()
+			f.awaitLog(t, "answer gone", "held", `"reason":"client closed its connection"`)
 		})
 	}
 }
@@ -94,6 +96,7 @@
 	if status, text := answer(t, f.ask(t, "lost", "enquiry")); status != 200 || text != fleetStream {
 		t.Errorf("%d %q", status, text)
 	}
+	f.awaitLog(t, "attempt failed", "lost", `"kept_connection":true`, `"answered":"0s"`)
 }
 
 // TestASlowWriterKeepsItsState: a write that has reached a writer which runs waits there longer than the release time. It is served by
--- a/cmd/brackenbend/processes_test.go
+++ b/cmd/brackenbend/processes_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -429,6 +430,25 @@
 	}
 }
 
+// awaitLog waits for a line of the node's log with this message, about this request, that holds all of the texts.
+func (f *processFleet) awaitLog(t *testing.T, message, id string, texts ...string) {
+	t.Helper()
+	texts = append(texts, `"msg":"`+message+`"`, `"`+id+`"`)
+	holds := func(line string) bool {
+		return !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) })
+	}
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		log, err := os.ReadFile(f.logFile)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if slices.ContainsFunc(strings.Split(string(log), "\n"), holds) {
+			return
+		}
+	}
+	t.Errorf("no line of the node's log holds all of %q", texts)
+}
+
 // count is how many events of a kind a request has had. All that have arrived are taken in first.
 func (f *processFleet) count(id, kind string) (n int) {
 	f.await("", time.Now().Add(50*time.Millisecond))
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -122,8 +122,8 @@
 			c.complain(err)
 			return
 		}
+		c.closing = closeAnswered // unless it ends for another reason
 		if !c.handle(req) {
-			c.closing = closeAnswered
 			return
 		}
 	}
@@ -336,6 +336,7 @@
 	}
 	text, err := http1.ReadAll(body, int64(f.Limits.Body))
 	if err != nil {
+		c.closing = closeReason(err)
 		c.complain(err)
 		return false
 	}
@@ -430,6 +431,7 @@
 	}
 	fl.report(f)
 	if left {
+		c.closing = closeClient
 		return false
 	}
 	if fl.answer.Status == 0 { // it was a stream
