Tests: the process tests force kept connections to be used, also on a busy machine

Seen: with six busy loops beside it and the race detector, one of six runs of the kept-connections case failed: the write took a new connection to the other writer, so nothing was held. The cases now have a sole writer or reader, wait until connections have rested, and the forgotten-connections test first makes four kept ones to each engine.

--- a/cmd/brackenbend/heldstate_test.go
+++ b/cmd/brackenbend/heldstate_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"fmt"
 	"testing"
 	"time"
 )
@@ -15,25 +14,25 @@
 func TestReadStatesBehindSilentWrites(t *testing.T) {
 	const release = 500 * time.Millisecond
 	for name, c := range map[string]struct {
-		class   string
-		readers int
-		lose    func(t *testing.T, f *processFleet)
+		class            string
+		readers, writers int
+		lose             func(t *testing.T, f *processFleet)
 	}{
-		"writers are stopped, safe":   {"enquiry", 2, stopWriters},
-		"writers are stopped, unsafe": {"order", 2, stopWriters},
-		"a cut swallows all towards writers": {"enquiry", 2, func(_ *testing.T, f *processFleet) {
+		"writers are stopped, safe":   {"enquiry", 2, 2, stopWriters},
+		"writers are stopped, unsafe": {"order", 2, 2, stopWriters},
+		"a cut swallows all towards writers": {"enquiry", 2, 2, func(_ *testing.T, f *processFleet) {
 			for _, w := range f.writers {
 				w.proxy.swallow(true)
 			}
 		}},
-		"writers are stopped, kept connections to the reader fall silent": {"enquiry", 1, func(t *testing.T, f *processFleet) {
+		"writers are stopped, kept connections to the reader fall silent": {"enquiry", 1, 2, func(t *testing.T, f *processFleet) {
 			f.keepConnections(t)
 			stopWriters(t, f)
 			for _, r := range f.readers {
 				r.proxy.swallowAfterReply()
 			}
 		}},
-		"kept connections to writers fall silent": {"enquiry", 2, func(t *testing.T, f *processFleet) {
+		"kept connections to the writer fall silent": {"enquiry", 2, 1, func(t *testing.T, f *processFleet) {
 			f.keepConnections(t)
 			for _, w := range f.writers {
 				w.proxy.swallow(false)
@@ -42,7 +41,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			f := newFleet(t, fleetPlan{readers: c.readers, writers: 2, release: release})
+			f := newFleet(t, fleetPlan{readers: c.readers, writers: c.writers, release: release})
 			if status, _ := answer(t, f.ask(t, "warm", "enquiry")); status != 200 {
 				t.Fatalf("before: %d", status)
 			}
@@ -85,11 +84,9 @@
 // lost on one of them is sent again on a new one, and is served.
 func TestForgottenKeptConnections(t *testing.T) {
 	t.Parallel()
-	f := newFleet(t, fleetPlan{readers: 3, writers: 2, release: time.Second})
-	f.keepConnections(t)
-	for i := range 3 { // kept ones to all readers
-		f.keepConnectionsAs(t, fmt.Sprintf("session%d", i))
-	}
+	const overlap = 200 * time.Millisecond
+	f := newFleet(t, fleetPlan{readers: 1, writers: 1, release: time.Second, readTime: overlap, firstToken: overlap})
+	f.keepSeveral(t, 4)
 	for _, e := range append(f.readers, f.writers...) {
 		e.proxy.swallow(false)
 	}
--- a/cmd/brackenbend/processes_test.go
+++ b/cmd/brackenbend/processes_test.go
@@ -36,9 +36,9 @@
 	eventReleased  = "released" // a release has reached a running engine
 )
 
-// engineMain is an engine's process: args are its name, its role ("read" or "write") and how long a first token takes.
-func engineMain(name, role, first string) int {
-	delay, err := time.ParseDuration(first)
+// engineMain is an engine's process: args are its name, its role ("read" or "write") and how long a read, or a first token, takes.
+func engineMain(name, role, takes string) int {
+	delay, err := time.ParseDuration(takes)
 	if err != nil {
 		return exitUsage
 	}
@@ -61,6 +61,7 @@
 			tell(eventReleased, strings.TrimPrefix(r.URL.Path, "/state/"))
 			w.WriteHeader(204)
 		case role == "read":
+			time.Sleep(delay)
 			tell(eventRead, id)
 			w.WriteHeader(202)
 			fmt.Fprint(w, `{"cached_tokens":0}`)
@@ -234,6 +235,7 @@
 // fleetPlan says what fleet a test wants.
 type fleetPlan struct {
 	readers, writers int
+	readTime         time.Duration // of a reader
 	firstToken       time.Duration // of a writer
 	release          time.Duration // the settings' release time
 }
@@ -249,17 +251,17 @@
 	t.Helper()
 	f := &processFleet{events: make(chan callEvent, 1000), logFile: filepath.Join(t.TempDir(), "node.log")}
 	var members []string
-	add := func(role, kind string, n int) (engines []*fleetEngine) {
+	add := func(role, kind string, n int, takes time.Duration) (engines []*fleetEngine) {
 		for i := range n {
-			e := f.startEngine(t, fmt.Sprintf("%s%d", role, i), role, plan.firstToken)
+			e := f.startEngine(t, fmt.Sprintf("%s%d", role, i), role, takes)
 			engines = append(engines, e)
 			members = append(members, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"a","flavor":%q,"cell":1,"phase":"Ready","size":1.0,"up_since_ms":0}`,
 				e.name, e.proxy.Addr(), kind))
 		}
 		return engines
 	}
-	f.readers = add("read", "prefill", plan.readers)
-	f.writers = add("write", "decode", plan.writers)
+	f.readers = add("read", "prefill", plan.readers, plan.readTime)
+	f.writers = add("write", "decode", plan.writers, plan.firstToken)
 	discovery, _ := discoveryStub(t)
 	config := filepath.Join(t.TempDir(), "config.json")
 	text := fmt.Sprintf(fleetConfig, discovery, strings.Join(members, ","), plan.release.Microseconds())
@@ -270,6 +272,9 @@
 	return f
 }
 
+// rested is longer than a connection to an engine rests after an answer before it is used again.
+const rested = 50 * time.Millisecond
+
 // spawn starts the test binary as another process, which the test's end kills.
 func spawn(t *testing.T, args []string, env ...string) (*exec.Cmd, io.Reader, io.Reader) {
 	t.Helper()
@@ -297,9 +302,9 @@
 	return cmd, stdout, stderr
 }
 
-func (f *processFleet) startEngine(t *testing.T, name, role string, first time.Duration) *fleetEngine {
+func (f *processFleet) startEngine(t *testing.T, name, role string, takes time.Duration) *fleetEngine {
 	t.Helper()
-	cmd, stdout, _ := spawn(t, nil, fmt.Sprintf("BRACKENBEND_TEST_ENGINE=%s %s %v", name, role, first))
+	cmd, stdout, _ := spawn(t, nil, fmt.Sprintf("BRACKENBEND_TEST_ENGINE=%s %s %v", name, role, takes))
 	lines := json.NewDecoder(stdout)
 	var listening callEvent
 	if err := lines.Decode(&listening); err != nil || listening.Kind != eventListening {
@@ -352,27 +357,20 @@
 
 // ask sends a request on a connection of its own.
 func (f *processFleet) ask(t *testing.T, id, class string) net.Conn {
-	t.Helper()
-	return f.askIn(t, "7f", id, class)
-}
-
-// askIn sends a request of a session.
-func (f *processFleet) askIn(t *testing.T, session, id, class string) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", f.address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { c.Close() })
-	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Key: %s\r\nReq-Deadline-Ms: 8000\r\n"+
-		"Req-Extra: prompt_len=20,max_out=8\r\nContent-Length: 2\r\n\r\n{}", id, class, session)
+	fmt.Fprintf(c, "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Key: 7f\r\nReq-Deadline-Ms: 8000\r\n"+
+		"Req-Extra: prompt_len=20,max_out=8\r\nContent-Length: 2\r\n\r\n{}", id, class)
 	return c
 }
 
-// keepConnections has requests served until one of them makes no new connection to an engine: those that are kept are used then.
-func (f *processFleet) keepConnections(t *testing.T) { f.keepConnectionsAs(t, "keep") }
-
-func (f *processFleet) keepConnectionsAs(t *testing.T, session string) {
+// keepConnections has requests served until one of them makes no new connection to an engine: those that are kept are used then, and
+// where there is one reader, or one writer, the next request rides on one that is kept towards it.
+func (f *processFleet) keepConnections(t *testing.T) {
 	t.Helper()
 	made := func() (n int) {
 		for _, e := range append(f.readers, f.writers...) {
@@ -383,17 +381,37 @@
 	const tries = 100
 	for i := range tries {
 		before := made()
-		if status, _ := answer(t, f.askIn(t, session, fmt.Sprintf("%s-%d", session, i), "enquiry")); status != 200 {
-			t.Fatalf("%s-%d: %d", session, i, status)
+		if status, _ := answer(t, f.ask(t, fmt.Sprintf("keep%d", i), "enquiry")); status != 200 {
+			t.Fatalf("keep%d: %d", i, status)
 		}
+		time.Sleep(rested)
 		if i > 0 && made() == before {
 			return
 		}
-		time.Sleep(10 * time.Millisecond) // a connection rests for a while before it is used again
 	}
 	t.Fatal("no connection to an engine is used again")
 }
 
+// keepSeveral has n requests served at one time, which leaves n kept connections to each of a sole reader and a sole writer.
+func (f *processFleet) keepSeveral(t *testing.T, n int) {
+	t.Helper()
+	var clients []net.Conn
+	for i := range n {
+		clients = append(clients, f.ask(t, fmt.Sprintf("several%d", i), "enquiry"))
+	}
+	for i, c := range clients {
+		if status, _ := answer(t, c); status != 200 {
+			t.Fatalf("several%d: %d", i, status)
+		}
+	}
+	time.Sleep(rested)
+	for _, e := range append(f.readers, f.writers...) {
+		if made := e.proxy.made(); made < n {
+			t.Fatalf("%d connections to %s, want %d", made, e.name, n)
+		}
+	}
+}
+
 // answer reads the final answer to a request.
 func answer(t *testing.T, c net.Conn) (status int, body string) {
 	t.Helper()
