--- a/routing/longprompts_test.go
+++ b/routing/longprompts_test.go
@@ -20,6 +20,9 @@
 	freeAt    map[EndpointID]time.Duration // when a prefill endpoint has done all that it took
 	requests  []longPromptsRequest         // by request id, from 1
 	answered  map[RequestID]bool
+
+	observe        func(time.Duration, Event) // if set, called with the time and event of each step
+	stopsAbandoned bool                       // endpoints stop a prefill whose attempt has timed out
 }
 
 type longPromptsRequest struct {
@@ -83,6 +86,9 @@
 		next := run.queue.next()
 		run.now = next.at
 		event := next.event.(replicaEvent)
+		if run.observe != nil {
+			run.observe(run.now, event.Event)
+		}
 		run.step(event.replica, event.Event)
 	}
 }
@@ -135,6 +141,9 @@
 	outcome.Result, outcome.Elapsed = PrefillDone, run.freeAt[a.Endpoint]-run.now
 	if a.Timeout > 0 && a.Timeout < outcome.Elapsed {
 		outcome.Result, outcome.Elapsed = TimedOut, a.Timeout
+		if run.stopsAbandoned {
+			run.freeAt[a.Endpoint] = max(begin, run.now+a.Timeout)
+		}
 	}
 	run.plan(outcome.Elapsed, replica, outcome)
 }
