Time-outs of prefills count what waits for other replicas

Callers saw requests at many replicas time out in queues that moved: at 0.8 times the load 730 of 3,300 prefills of 300 replicas, each done all the same by its endpoint, and read again behind the others.

Cause: a prefill's time-out was a multiple of its own replica's tokens at the endpoint. What waits there for 299 other replicas is the same for a prompt of 100 tokens and of 10,000, so short prompts had the least time-out there is, 0.8 s. And the time that is usual was taken from prefills that ended, not from those given up, so it could not grow past the time-out.

A prefill's usual time is now at least the mean of this replica's prefills, in which a time-out counts as the time it took. An endpoint that swallows prefills is still replaced: its share of the mean is small, and silence ejects it as before.

--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -64,6 +64,9 @@
 	if a.decode {
 		usual += r.latency.firstToken
 		least, attemptsToFinish = minFirstTokenTimeout, 1
+	} else {
+		// What waits for other replicas takes the same time for a short prompt as for a long one.
+		usual = max(usual, r.latency.prefillTime)
 	}
 	untilObjective := req.objectiveAt() - r.now
 	if r.admission.shedder.fraction > overloadShedFraction {
@@ -182,6 +185,7 @@
 func (r *Router) prefillDone(req *request, a *attempt, event Outcome) {
 	b := a.backend
 	r.observePrefill(a, event.Elapsed)
+	movingAverage(&r.latency.prefillTime, event.Elapsed.Seconds(), prefillTimeWeight)
 	uncached := max(req.PromptTokens-event.CachedTokens, 0) + promptOverhead
 	movingAverage(&r.latency.uncachedTokens[req.Class], uncached, uncachedTokensWeight)
 	b.pace.completed++
@@ -201,5 +205,7 @@
 	}
 	if a.decode {
 		movingAverage(&r.latency.firstToken, event.Elapsed.Seconds(), firstTokenTimeoutWeight)
+	} else {
+		movingAverage(&r.latency.prefillTime, event.Elapsed.Seconds(), prefillTimeoutWeight)
 	}
 }
--- a/routing/attempts_test.go
+++ b/routing/attempts_test.go
@@ -69,3 +69,40 @@
 		})
 	}
 }
+
+// TestShortPromptsWaitBehindOtherReplicas: what other replicas have queued at a prefill endpoint delays a short prompt
+// as long as a long one. A time-out by the prompt's own tokens gave short prompts 0.8 s where prefills took 0.5 s in
+// the mean; the endpoint went on with them, and their retries queued behind. Time-outs must show in the usual time as
+// well: only the prefills that ended sooner counted in it.
+func TestShortPromptsWaitBehindOtherReplicas(t *testing.T) {
+	const usual = 500 * ms
+	shortTimeout := func(t *testing.T, h *harness) time.Duration {
+		t.Helper()
+		return onlyAction[Send](t, h.step(h.request(100, idempotentClass, 50))).Timeout
+	}
+	t.Run("prefills of long prompts take long", func(t *testing.T) {
+		h := newHarness(t, testConfig(), prefillEndpoint(1), decodeEndpoint(3))
+		for id := RequestID(1); id <= 10; id++ {
+			h.prefillRequest(t, h.request(id, idempotentClass, 2000), usual)
+			h.end(Served, id, 1, 3, ms)
+		}
+		if timeout := shortTimeout(t, h); timeout < 4*usual {
+			t.Errorf("a short prompt may take %v, prefills take %v", timeout, usual)
+		}
+	})
+	t.Run("prefills time out", func(t *testing.T) {
+		h := newHarness(t, testConfig(), prefillEndpoint(1), decodeEndpoint(3))
+		first := shortTimeout(t, h)
+		h.step(ClientDisconnected{100}, Outcome{Request: 100, Endpoint: 1, Result: Canceled})
+		for id := RequestID(1); id <= 10; id++ {
+			h.step(h.request(id, idempotentClass, 50))
+			for attempt := range actionsOf[Send](h.end(TimedOut, id, 0, 1, first)) {
+				h.step(ClientDisconnected{id}, Outcome{Request: id, Attempt: attempt + 1, Endpoint: 1, Result: Canceled})
+			}
+			h.advance(maxEjectionTime, ClientDisconnected{id})
+		}
+		if timeout := shortTimeout(t, h); timeout < 2*first {
+			t.Errorf("a short prompt may take %v after ten time-outs of %v", timeout, first)
+		}
+	})
+}
--- a/routing/stats.go
+++ b/routing/stats.go
@@ -18,6 +18,8 @@
 	// Weights of the newest sample in moving averages: small for those of a whole replica, large for the
 	// slowness of one endpoint, which sees few.
 	prefillPaceWeight       = 0.05
+	prefillTimeWeight       = 0.3
+	prefillTimeoutWeight    = 0.1 // a time-out says only that it takes at least so long
 	uncachedTokensWeight    = 0.05
 	firstTokenWeight        = 0.05
 	firstTokenTimeoutWeight = 0.02 // a time-out says only that it takes at least so long
@@ -49,6 +51,7 @@
 type latencyStats struct {
 	uncachedTokens []float64 // of a prompt, by class
 	prefillPace    float64   // seconds a token, this replica's backlog included
+	prefillTime    float64   // seconds from the send of a prefill to its end, others' backlog included
 	firstToken     float64   // seconds from the send of a decode to the first token
 }
 
