Congested prefill endpoints shed load in each replica by its own prefills' times

Cause: a replica of many never reaches its own bounds at an endpoint, so it queues nothing, and others' prompts show only in how long its prefills take. The one rule that shed for that moved by answers, at most 1 s for a late one and 3 s for one in time: a replica with an answer in three seconds rested where 86% were late, and its steps were in proportion both ways, so replicas that differed once differed for good. Shed were short prompts as readily as long ones, that take ten times the work.

Each replica now moves a level of admission by its own prefills' times against the objective: up by a constant, down by a part of itself, so that all that see the same queues end alike. Lateness counts once: what prefills made late moves this level, the rest the old fraction, and what is given up in a replica's own queue neither.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -8,6 +8,7 @@
 type admission struct {
 	quotas       []tokenBucket // by tenant
 	shedder      loadShedder
+	congestion   prefillCongestion
 	shuttingDown bool
 }
 
@@ -64,5 +65,5 @@
 	r.countAffinityKey(req)
 	r.requests[event.ID] = req
 	r.queue.add(req)
-	req.shed = r.admission.shuttingDown || r.shouldShed(req)
+	req.shed = r.admission.shuttingDown || r.shouldShed(req) || r.congestionSheds(req)
 }
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -100,7 +100,10 @@
 	}
 	b, elapsed := a.backend, event.Elapsed.Seconds()
 	req.streaming, req.state.backend = true, nil
-	r.admission.shedder.observe(r.now, req.class, r.now > req.objectiveAt())
+	late := r.now > req.objectiveAt()
+	if !late || !req.congested {
+		r.admission.shedder.observe(r.now, req.class, late)
+	}
 	if b.role == RoleDecode {
 		movingAverage(&b.pace.slowness, elapsed/r.latency.firstToken, slownessWeight)
 		movingAverage(&r.latency.firstToken, elapsed, firstTokenWeight)
@@ -162,6 +165,9 @@
 // observeResult takes an attempt's result into the statistics of its endpoint.
 func (r *Router) observeResult(req *request, a *attempt, event Outcome) {
 	b := a.backend
+	if !a.decode {
+		r.observePrefillTime(req, event)
+	}
 	switch event.Result {
 	case PrefillDone:
 		r.prefillDone(req, a, event)
--- a/routing/request.go
+++ b/routing/request.go
@@ -18,6 +18,7 @@
 	state     heldState
 	execution possibleExecution
 	streaming bool // its first token has come
+	congested bool // a prefill of it took long behind other prompts
 	shed      bool // rejected on arrival
 	ended     bool // no answer is owed any more
 }
--- a/routing/retry.go
+++ b/routing/retry.go
@@ -95,15 +95,21 @@
 	}
 }
 
+// observeEnd takes the end of a request without a first token into load shedding. One given up counts as
+// late, however soon: else a wave of rejections would look like answers in time. One that congested prefill
+// endpoints made late counts there, and one given up in the queue has taken no capacity.
+func (r *Router) observeEnd(req *request, givenUp bool) {
+	queuedOnly := givenUp && len(req.attempts) == 0
+	if !req.streaming && !req.shed && !req.congested && !queuedOnly {
+		r.admission.shedder.observe(r.now, req.class, givenUp || r.now > req.objectiveAt())
+	}
+}
+
 // finish is the one place where a request ends. It answers, cancels what is in flight and releases what is
 // held. A nil answer means that none is owed.
 func (r *Router) finish(req *request, answer Action) {
 	req.ended = true
-	if !req.streaming && !req.shed {
-		// One given up counts as late, however soon: else a wave of rejections would look like answers in
-		// time.
-		r.admission.shedder.observe(r.now, req.class, answer != nil || r.now > req.objectiveAt())
-	}
+	r.observeEnd(req, answer != nil)
 	if answer != nil {
 		r.emit(answer)
 	}
