Long prompts are dispatched in their turn where shortest first gives them up

Cause: under lasting overload there is always a shorter prompt. A long one was promoted after 2 s in the queue and given up at its objective, 1.1 to 1.6 s, before that.

A replica counts arrivals and first dispatches by band of length; where the longest tenth, or the next fifth, gets less than its share, the shortest queued prompt of that band goes first, at most every fourth dispatch as before.

--- a/routing/admission.go
+++ b/routing/admission.go
@@ -64,6 +64,7 @@
 	req.queued.limit = min(req.Deadline, req.objectiveAt())
 	r.countAffinityKey(req)
 	r.requests[event.ID] = req
+	r.queue.shares.arrived(req)
 	r.queue.add(req)
 	req.shed = r.admission.shuttingDown || r.shouldShed(req) || r.congestionSheds(req)
 }
--- /dev/null
+++ b/routing/lengthshares_test.go
@@ -0,0 +1,80 @@
+package routing
+
+import (
+	"math/rand"
+	"testing"
+)
+
+// TestUnderservedLengthsArePromoted: more short prompts come than there is capacity for, all the time. Shortest first
+// alone gives up each long prompt at its objective, which ends before age promotes it. The shortest of the long ones
+// goes first then, at most every dispatchesPerPromotion dispatches, and none beyond its tenant's quota.
+func TestUnderservedLengthsArePromoted(t *testing.T) {
+	config := testConfig()
+	config.Tenants = []Tenant{{}, {QuotaPerS: 0.01}}
+	h := newHarness(t, config, prefillEndpoint(1), decodeEndpoint(2))
+	rnd := rand.New(rand.NewSource(1))
+	lengths, tenants := map[RequestID]float64{}, map[RequestID]int{}
+	var open []Send
+	var dispatched []RequestID
+	for id := RequestID(1); id <= 600; id++ {
+		tokens := 200 + 100*rnd.Float64()
+		if id%10 == 0 {
+			tokens = 2000 + 1000*rnd.Float64()
+		}
+		req := h.request(id, idempotentClass, tokens)
+		req.Tenant = boolToInt(id%20 == 0)
+		lengths[id], tenants[id] = tokens, req.Tenant
+		events := []Event{req}
+		if id%2 == 0 && len(open) > 0 {
+			events = append(events, Outcome{Request: open[0].Request, Endpoint: 1, Result: Canceled})
+			events = append(events, ClientDisconnected{open[0].Request})
+			open = open[1:]
+		}
+		for _, send := range actionsOf[Send](h.advance(50*ms, events...)) {
+			open = append(open, send)
+			dispatched = append(dispatched, send.Request)
+		}
+	}
+	long, lastLong := 0, -dispatchesPerPromotion
+	for i, id := range dispatched[len(dispatched)/4:] {
+		if lengths[id] < 1000 {
+			continue
+		}
+		if long++; i-lastLong < dispatchesPerPromotion {
+			t.Errorf("long prompts at dispatches %d and %d", lastLong, i)
+		}
+		lastLong = i
+		if tenants[id] == 1 {
+			t.Errorf("request %d is beyond its tenant's quota and was promoted", id)
+		}
+	}
+	// A tenth of the arrivals are long, and half of those may be promoted.
+	if most := len(dispatched) * 3 / 4; long < most/50 || long > most/8 {
+		t.Errorf("%d of %d dispatches are long prompts", long, most)
+	}
+}
+
+// TestLengthSharesForget: what was dispatched long ago does not count against a band now.
+func TestLengthSharesForget(t *testing.T) {
+	var shares lengthShares
+	add := func(id RequestID, tokens float64, dispatched bool) {
+		req := &request{Request: Request{ID: id, PromptTokens: tokens}}
+		shares.arrived(req)
+		if dispatched {
+			shares.dispatched(req)
+		}
+	}
+	for id := range RequestID(1000) {
+		add(id, 100+float64(id%10)*100, true)
+	}
+	if shares.underserved(bandLongest) {
+		t.Fatal("underserved though all were dispatched")
+	}
+	for id := range RequestID(1000) {
+		tokens := 100 + float64(id%10)*100
+		add(1000+id, tokens, tokens < 800)
+	}
+	if !shares.underserved(bandLongest) {
+		t.Error("not underserved after a thousand arrivals of which none of the longest was dispatched")
+	}
+}
--- a/routing/queue.go
+++ b/routing/queue.go
@@ -23,6 +23,7 @@
 	byArrival      arrivalHeap
 	byLimit        []limitHeap // by class
 	sincePromotion int         // dispatches since the last promotion
+	shares         lengthShares
 }
 
 // queueEntry is what the queue needs to know of a request.
@@ -99,23 +100,53 @@
 	}
 }
 
-// promote returns the request that has waited longest, if one may be promoted and is not first anyway.
+// promote returns the request to be dispatched next out of order, if one may be and it is not first anyway:
+// one of a length that gets too little, else the one that has waited longest, if it has starved.
 func (q *requestQueue) promote(now time.Duration) *request {
-	oldest := q.oldest()
-	if q.sincePromotion < dispatchesPerPromotion-1 || oldest == nil ||
-		oldest.arrivedAt >= now-starvationAge || oldest == q.waiting[0] {
+	if q.sincePromotion < dispatchesPerPromotion-1 || len(q.waiting) == 0 {
 		return nil
 	}
-	if !oldest.queued.promoted {
-		oldest.queued.promoted = true
-		q.retry = append(q.retry, oldest)
+	req := q.underserved()
+	if oldest := q.oldest(); req == nil && oldest.arrivedAt < now-starvationAge {
+		req = oldest
 	}
-	return oldest
+	if req == nil || req == q.waiting[0] {
+		return nil
+	}
+	if !req.queued.promoted {
+		req.queued.promoted = true
+		q.retry = append(q.retry, req)
+	}
+	return req
+}
+
+// underserved returns the shortest queued request of a band of prompt lengths that gets too little, of the
+// longest band first; nil if there is none. Requests beyond their tenant's quota have no part in it.
+func (q *requestQueue) underserved() *request {
+	for _, band := range [...]lengthBand{bandLongest, bandLong} {
+		lengths := q.shares.lengths.ofBand(band)
+		if len(lengths) == 0 || !q.shares.underserved(band) {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(q.waiting, lengths[0], func(req *request, tokens float64) int {
+			if req.queued.overQuota {
+				return 1
+			}
+			return cmp.Compare(req.PromptTokens, tokens)
+		})
+		if i < len(q.waiting) && q.shares.takes(q.waiting[i], band) {
+			return q.waiting[i]
+		}
+	}
+	return nil
 }
 
 // dispatched takes out a request that was sent.
 func (q *requestQueue) dispatched(req *request) {
 	q.remove(req)
+	if len(req.attempts) == 1 {
+		q.shares.dispatched(req)
+	}
 	if q.sincePromotion++; req.queued.promoted {
 		q.sincePromotion = 0
 	}
