Gateway and engine client keep spans by the monotonic clock

What callers could see after a step of the wall clock: a drain that ends at once, with requests refused that were owed an answer, or goes on for an hour; idle connections closed too soon, or never; broken connections to engines trusted, or none reused.

Cause: five spans were kept as time.Now().UnixNano(), which drops the monotonic reading that a time.Time has: the drain's deadline, client connections' idle times, the time of the last reuse failure and of an engine's last response. Ruled out: deadlines and idle times that stay time.Time.

One line of pool_test.go follows the type; it checks what it did.

--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -4,8 +4,8 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-	"time"
 
+	"brackenbend/internal/monotonic"
 	"brackenbend/routing"
 )
 
@@ -16,8 +16,8 @@
 	Address string
 	Role    routing.Role
 
-	closed       atomic.Bool  // drains or is gone: nothing new is sent
-	lastResponse atomic.Int64 // Unix time in nanoseconds; 0 = never
+	closed       atomic.Bool          // drains or is gone: nothing new is sent
+	lastResponse monotonic.AtomicTime // 0 = never
 
 	mu        sync.Mutex
 	idle      []*persistConn // the longest idle first
@@ -38,11 +38,11 @@
 // IsOpen reports whether new work may be sent to the engine.
 func (e *Endpoint) IsOpen() bool { return !e.closed.Load() }
 
-// LastResponse is when the engine last responded at all, as Unix time in nanoseconds; 0 = never.
-func (e *Endpoint) LastResponse() int64 { return e.lastResponse.Load() }
+// LastResponse is when the engine last responded at all; 0 = never.
+func (e *Endpoint) LastResponse() monotonic.Time { return e.lastResponse.Load() }
 
 // markResponse records that the engine responds now.
-func (e *Endpoint) markResponse() { e.lastResponse.Store(time.Now().UnixNano()) }
+func (e *Endpoint) markResponse() { e.lastResponse.Store(monotonic.Now()) }
 
 // DiscardIdleConns closes idle connections, as after a restart of the process behind the address.
 func (e *Endpoint) DiscardIdleConns() {
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -9,12 +9,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"brackenbend/internal/monotonic"
 )
 
 // poolState is what a client knows of the connections to all its endpoints.
 type poolState struct {
-	open          atomic.Int64 // connections open or being opened
-	reuseFailedAt atomic.Int64 // when a reused connection last broke, as Unix time in nanoseconds; 0 = never
+	open          atomic.Int64         // connections open or being opened
+	reuseFailedAt monotonic.AtomicTime // when a reused connection last broke; 0 = never
 
 	mu       sync.Mutex             // taken before an endpoint's
 	withIdle map[*Endpoint]struct{} // endpoints that may have idle connections
@@ -170,12 +172,12 @@
 // them, close connections sooner than agreed. Another request sent on such a connection may be lost, and one that must
 // run only once may not be retried; a new connection costs only a handshake. So none is reused until all that are idle
 // now are past their time.
-func (c *Client) suspendReuse() { c.pool.reuseFailedAt.Store(time.Now().UnixNano()) }
+func (c *Client) suspendReuse() { c.pool.reuseFailedAt.Store(monotonic.Now()) }
 
 // reuseSuspended reports whether connections are neither reused nor kept.
 func (c *Client) reuseSuspended() bool {
 	at := c.pool.reuseFailedAt.Load()
-	return at != 0 && time.Now().UnixNano()-at < int64(c.IdleTimeout)
+	return at != 0 && monotonic.Now().Sub(at) < c.IdleTimeout
 }
 
 // onReuseFailure follows a request that was written on a reused connection and got no response. A connection that
--- a/internal/engine/pool_test.go
+++ b/internal/engine/pool_test.go
@@ -153,7 +153,8 @@
 	if endpoint.Conns() != 0 {
 		t.Errorf("%d connections are kept", endpoint.Conns())
 	}
-	client.pool.reuseFailedAt.Add(-int64(client.IdleTimeout)) // they are past their time
+	failedAt := client.pool.reuseFailedAt.Load()
+	client.pool.reuseFailedAt.Store(failedAt.Add(-client.IdleTimeout)) // they are past their time
 	if got := prefill(); got != routing.PrefillDone || endpoint.Conns() != 1 {
 		t.Errorf("later: %v, %d connections kept", got, endpoint.Conns())
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"brackenbend/internal/monotonic"
 )
 
 // clientConn is the connection of one client. Its goroutine reads requests and writes every response that is not a
@@ -16,7 +18,7 @@
 	gateway    *Gateway
 	conn       net.Conn
 	acceptedAt time.Time
-	idleSince  atomic.Int64                    // Unix time in nanoseconds; 0 = not idle, idleEvicted = closed by eviction
+	idleSince  monotonic.AtomicTime            // 0 = not idle, idleEvicted = closed by eviction
 	current    atomic.Pointer[inflightRequest] // the request in flight, or nil
 	hadRequest bool                            // a request has arrived; guarded by gateway.mu
 
@@ -91,8 +93,11 @@
 // that arrived just then is not begun, since its client sends it again elsewhere.
 func (c *clientConn) leaveIdle() bool { return c.idleSince.Swap(0) != idleEvicted }
 
+// markIdle notes that the connection waits for a request's first byte.
+func (c *clientConn) markIdle() { c.idleSince.Store(monotonic.Now()) }
+
 // closeIfIdleSince evicts a connection that has been idle since then. It returns false if it is no longer.
-func (c *clientConn) closeIfIdleSince(since int64) bool {
+func (c *clientConn) closeIfIdleSince(since monotonic.Time) bool {
 	if !c.idleSince.CompareAndSwap(since, idleEvicted) {
 		return false
 	}
--- a/internal/gateway/conn_read.go
+++ b/internal/gateway/conn_read.go
@@ -65,7 +65,7 @@
 	if err := c.setReadDeadline(c.readDeadline(c.gateway.Limits.IdleTimeout)); err != nil {
 		return err
 	}
-	c.idleSince.Store(time.Now().UnixNano())
+	c.markIdle()
 	var err error
 	if !c.gateway.drain.started.Load() { // otherwise Shutdown may have passed this connection before idleSince was set
 		_, err = c.reader.Peek(1)
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"brackenbend/internal/monotonic"
 )
 
 // Bounds on the backoff after a failed accept, which doubles each time.
@@ -86,7 +88,7 @@
 	if g.MinIdleTime == 0 {
 		return false
 	}
-	now := time.Now().UnixNano()
+	now := monotonic.Now()
 	for {
 		oldest, idleSince := g.oldestIdleConn(now)
 		if oldest == nil {
@@ -100,11 +102,11 @@
 }
 
 // oldestIdleConn finds the connection to evict, and since when it has been idle. g.mu is held.
-func (g *Gateway) oldestIdleConn(now int64) (oldest *clientConn, idleSince int64) {
+func (g *Gateway) oldestIdleConn(now monotonic.Time) (oldest *clientConn, idleSince monotonic.Time) {
 	for c := range g.conns {
 		since := c.idleSince.Load()
 		switch {
-		case since <= 0 || c.hadRequest && now-since < int64(g.MinIdleTime):
+		case since <= 0 || c.hadRequest && now.Sub(since) < g.MinIdleTime:
 			continue
 		case oldest != nil && !oldest.hadRequest && c.hadRequest:
 			continue
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync/atomic"
 	"time"
+
+	"brackenbend/internal/monotonic"
 )
 
 // defaultDrainGrace is how long a draining gateway still waits for clients that are connecting, and for requests on
@@ -13,23 +15,19 @@
 // drainState is the progress of a graceful shutdown.
 type drainState struct {
 	started  atomic.Bool
-	grace    time.Duration // set before started
-	deadline atomic.Int64  // end of AcceptWhileDraining, as Unix time in nanoseconds; set before started
+	grace    time.Duration        // set before started
+	deadline monotonic.AtomicTime // end of AcceptWhileDraining; set before started
 }
 
 // graceEnd returns until when a draining gateway waits for connections and requests that may still come: the deadline,
 // but at least the grace from now.
 func (d *drainState) graceEnd() time.Time {
-	end := time.Now().Add(d.grace)
-	if deadline := time.Unix(0, d.deadline.Load()); deadline.After(end) {
-		return deadline
-	}
-	return end
+	return max(monotonic.Now().Add(d.grace), d.deadline.Load()).Deadline()
 }
 
 // deadlinePassed reports that no further requests are accepted and each answer ends its connection.
 func (d *drainState) deadlinePassed() bool {
-	return d.started.Load() && time.Now().UnixNano() >= d.deadline.Load()
+	return d.started.Load() && monotonic.Now() >= d.deadline.Load()
 }
 
 // Shutdown shuts down gracefully: it stops accepting and waits until open requests are answered. Once ctx is done the
@@ -53,7 +51,7 @@
 }
 
 func (g *Gateway) startDraining() {
-	g.drain.deadline.Store(time.Now().Add(g.AcceptWhileDraining).UnixNano())
+	g.drain.deadline.Store(monotonic.Now().Add(g.AcceptWhileDraining))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.drain.started.Store(true)
