A read state behind a hung decode is released when its engine runs again

Cause: releases spare a state for which a decode waits, and a hung engine counts as waiting until it runs again. Both releases of an aborted decode came before that, and nobody came back. Ruled out: lost releases (the engine reports both).

TestStateBehindHungDecodeIsReleased stops and resumes an engine process; it fails without the change and passes with it.

--- a/cmd/brackenbend/fleet_test.go
+++ b/cmd/brackenbend/fleet_test.go
@@ -191,6 +191,14 @@
 	}
 }
 
+// resume lets a stopped process run again.
+func (e *fleetEngine) resume(t *testing.T) {
+	t.Helper()
+	if err := e.process.Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (e *fleetEngine) status(t *testing.T) string {
 	t.Helper()
 	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", e.process.Pid))
--- a/cmd/brackenbend/readstate_test.go
+++ b/cmd/brackenbend/readstate_test.go
@@ -131,3 +131,40 @@
 		t.Errorf("prefilled %d times, decoded %d times", prefills, decodes)
 	}
 }
+
+// TestStateBehindHungDecodeIsReleased: a decode engine takes a decode and hangs, and the client leaves. Releases spare
+// the read state as long as the engine counts as waiting for it: until it runs again and sees that the decode was
+// aborted. Then a release has to reach the prefill engine within the state TTL. All releases came within a fraction of
+// the state TTL of the client's end, and nobody came back; the state was held for good.
+func TestStateBehindHungDecodeIsReleased(t *testing.T) {
+	t.Parallel()
+	const stateTTL = 500 * time.Millisecond
+	f := newFleet(t, fleetPlan{
+		prefillEngines: 1, decodeEngines: 1, stateTTL: stateTTL, timeToFirstToken: 10 * time.Second,
+	})
+	client := f.send(t, "hung", idempotentClass)
+	if _, ok := f.await("hung", time.Now().Add(8*time.Second), eventDecodeReceived); !ok {
+		t.Fatal("no decode was received")
+	}
+	stopDecodeEngines(t, f)
+	client.Close()
+	f.awaitLog(t, "read state released", "hung", `"rounds_before":1`) // the last one, before
+	for {                                                             // releases of before
+		if _, ok := f.await("hung", time.Now().Add(stateTTL), eventReleased); !ok {
+			break
+		}
+	}
+	resumedAt := time.Now()
+	for _, e := range f.decodeEngines {
+		e.resume(t)
+	}
+	for by := resumedAt.Add(stateTTL + stateTTLSlack); ; {
+		released, ok := f.await("hung", by, eventReleased)
+		if !ok {
+			t.Fatalf("not released at the prefill engine within %v", stateTTL+stateTTLSlack)
+		}
+		if released.Engine == f.prefillEngines[0].name {
+			return
+		}
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brackenbend/internal/engine"
+	"brackenbend/internal/monotonic"
 	"brackenbend/routing"
 )
 
@@ -34,6 +35,7 @@
 	neverRan      bool
 	mayHoldState  bool // a prefill that may have left a state that no reply confirmed
 	decodeAborted bool // a decode ended by the gateway, which its engine may not have seen yet
+	endedAt       monotonic.Time
 
 	// Owned by the event loop.
 	pending        bool // its outcome has not come
@@ -110,6 +112,7 @@
 	if prefilled {
 		a.kvParams = out.KVTransferParams
 	}
+	a.endedAt = monotonic.Now()
 	close(a.ended)
 	if !a.decode && !prefilled && !l.engines.StateByRequestID { // a state that it may have left is known to nobody
 		l.work.Add(1)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -40,6 +40,7 @@
 	steppedAt      time.Time          // when the router last ran: the timeouts of its actions count from then
 	touched        []*inflightRequest // that may have ended in this step
 	stepWaiters    []chan struct{}    // closed at the end of this step
+	hungEngines    map[*engine.Endpoint]*hungEngine
 	stopping       bool
 	statusLoggedAt time.Time
 	attemptResults struct {
@@ -68,6 +69,8 @@
 	endpointsUpdated struct{ update *endpointslice.Update }
 	// releaseDue is a release to be repeated, after its retry interval.
 	releaseDue struct{ release *release }
+	// hungEngineDone comes when an engine that may hang has responded, or is not waited for any more.
+	hungEngineDone struct{ hung *hungEngine }
 	// statusDue is posted once a second.
 	statusDue struct{}
 	// stepAwaited has done closed once the router has run and its actions are under way.
@@ -84,6 +87,7 @@
 		gateway: g, router: router, engines: engines, releasesState: engines.ReleasesState(), start: time.Now(),
 		wake: make(chan struct{}, 1), done: make(chan struct{}), handoff: make(chan *attempt),
 		requests: map[routing.RequestID]*inflightRequest{}, table: newEndpointTable(),
+		hungEngines: map[*engine.Endpoint]*hungEngine{},
 	}
 	for result, name := range resultNames {
 		l.attemptResults.prefill[result] = g.metrics.Attempts.WithLabelValues(stagePrefill, name)
@@ -225,6 +229,11 @@
 	return nil
 }
 
+func (e hungEngineDone) handle(l *eventLoop) routing.Event {
+	l.hungEngineHeard(e.hung)
+	return nil
+}
+
 func (statusDue) handle(l *eventLoop) routing.Event {
 	l.checkStates()
 	return nil
@@ -237,6 +246,7 @@
 
 func (stopRequested) handle(l *eventLoop) routing.Event {
 	l.stopping = true
+	l.stopAwaitingHung()
 	for _, request := range l.requests {
 		for _, a := range request.attempts {
 			a.handle.Cancel()
@@ -266,6 +276,7 @@
 		}
 		request.bodies = nil // its releases may keep the request for some time
 		l.releaseAll(request)
+		l.releaseOnceHungRuns(request)
 		delete(l.requests, request.id)
 	}
 }
