Planner: a round's clock is read after the replicas are polled

What operators saw: engines change role late, or not, while the gateway rejects requests for want of them.

Cause: the round's clock was read before the poll whose reports it takes, so each lay in its future (20.9 ms with a replica that takes 20 ms), and the planner takes no such report: lost work never counted. Ruled out: the counters and costs, which are tested.

The clock is read after all polls. TestReplicaReportsAreNotOfTheFuture failed before and passes.

--- a/internal/planner/runner.go
+++ b/internal/planner/runner.go
@@ -112,9 +112,10 @@
 	r.restoreMemory(ctx)
 	polledAt := r.pollEngines(ctx, view)
 	table, confirmed := r.applyStatuses(view.Assignments)
-	now := r.now()
+	replicas := r.pollReplicas(ctx)
+	now := r.now() // after all polls: the planner takes no report of its future
 	engines := Engines(view, r.statuses, r.cells, polledAt, now, wallClock())
-	plan := r.policy().Step(now, engines, r.pollReplicas(ctx))
+	plan := r.policy().Step(now, engines, replicas)
 	if r.OnPlan != nil {
 		r.OnPlan(plan)
 	}
