Gateway: a send to an unknown endpoint ends as an attempt that was not sent

What callers would see: the process ends with all its requests. None has: the router never sends so.

Cause: startAttempt posted the outcome of attempt 0 for a request without an attempt, and attemptEnded indexes by it. Ruled out: unknown requests, whose outcome finds no request and is passed over.

The refused send is counted as an attempt, as in the router, and ends as not sent. TestSendToUnknownEndpoint panicked before.

--- a/internal/gateway/actions.go
+++ b/internal/gateway/actions.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"brackenbend/internal/engine"
 	"brackenbend/routing"
 )
 
@@ -58,7 +59,7 @@
 	if request == nil || entry == nil { // the router only sends requests that it got, to endpoints that it got
 		l.gateway.log.Error("send for an unknown request or endpoint",
 			zap.Uint32("request", uint32(send.Request)), zap.Uint32("server", uint32(send.Endpoint)))
-		l.post(routing.Outcome{Request: send.Request, Endpoint: send.Endpoint, Result: routing.NotSent}, nil)
+		l.refuseSend(request, &send)
 		return
 	}
 	l.releaseUnclear(request)
@@ -68,6 +69,22 @@
 	l.dispatch(a)
 }
 
+// refuseSend ends an attempt that can't be started. The router has counted it, so it counts here too.
+func (l *eventLoop) refuseSend(request *inflightRequest, send *routing.Send) {
+	outcome := routing.Outcome{Request: send.Request, Endpoint: send.Endpoint, Result: routing.NotSent}
+	if request != nil {
+		a := &attempt{
+			request: request, index: len(request.attempts), endpoint: &engine.Endpoint{}, neverRan: true,
+			ended: make(chan struct{}), pending: true,
+		}
+		close(a.ended)
+		outcome.Attempt = a.index
+		request.addAttempt(a)
+		request.pendingAttempts++
+	}
+	l.post(outcome, nil)
+}
+
 func (l *eventLoop) newAttempt(request *inflightRequest, entry *endpointEntry, send *routing.Send) *attempt {
 	a := &attempt{
 		request: request, index: len(request.attempts), endpoint: entry.engine,
