Congestion: faster recovery only after a calm span, and time-outs are not calm

Seen on reading the change again: a prefill that timed out before half of its objective counted as a calm one, and in a replica with many prefills a second four calm ones in a row are chance, so its level rose while the endpoints were full.

Prefills count as calm from 1.5 s after the last that took the target or more, and a time-out is not calm.

--- a/internal/gateway/hungengine.go
+++ b/internal/gateway/hungengine.go
@@ -89,7 +89,11 @@
 	if l.stopping {
 		return
 	}
-	l.gateway.log.Info("engine responds after an aborted decode", zap.String("engine", hung.endpoint.Name),
+	message := "engine responds after an aborted decode"
+	if hung.endpoint.IsOpen() && hung.endpoint.LastResponse() < hung.since {
+		message = "engine silent for long after an aborted decode"
+	}
+	l.gateway.log.Info(message, zap.String("engine", hung.endpoint.Name),
 		zap.Duration("after", monotonic.Now().Sub(hung.since)), zap.Int("requests", len(hung.requests)))
 	for _, request := range hung.requests {
 		l.startRelease(l.newRelease(request, 0), func() {})
--- a/routing/congestion.go
+++ b/routing/congestion.go
@@ -16,8 +16,9 @@
 	// below it.
 	congestionDecrease = 0.3
 	congestionIncrease = 0.1
-	// calmBeforeFaster is after how many prefills below the target in a row each further one doubles the
-	// increase, at most maxIncreaseDoublings times: congestion has ended.
+	// Congestion has ended when no prefill was beyond the target for calmTime: after calmBeforeFaster more,
+	// each further one doubles the increase, at most maxIncreaseDoublings times.
+	calmTime             = 1500 * time.Millisecond
 	calmBeforeFaster     = 3
 	maxIncreaseDoublings = 5
 	// maxCongestionSpan bounds the time since the last prefill for which one counts: it may be alone.
@@ -40,10 +41,11 @@
 // those that admit more come down faster, and all end at about the same level; steps in proportion, both
 // ways, would leave them apart.
 type prefillCongestion struct {
-	shed       float64 // 1 - level of admission, when last observed; 0 = all are admitted
-	observedAt time.Duration
-	calm       int           // prefills since one took more than the target
-	lengths    promptLengths // uncached, as far as prefixes tell
+	shed        float64 // 1 - level of admission, when last observed; 0 = all are admitted
+	observedAt  time.Duration
+	congestedAt time.Duration // when a prefill last took the target or more
+	calm        int           // prefills since calmTime after that
+	lengths     promptLengths // uncached, as far as prefixes tell
 }
 
 // observe takes how long a prefill took, in latency objectives of its request.
@@ -52,11 +54,13 @@
 	span := min(now-c.observedAt, maxCongestionSpan).Seconds()
 	c.observedAt = now
 	level, excess := 1-shed, objectives-congestionTarget
-	if excess > 0 {
-		c.calm = 0
+	if excess >= 0 {
+		c.calm, c.congestedAt = 0, now
 		level *= math.Exp(-congestionDecrease * excess * span)
 	} else {
-		c.calm++
+		if now-c.congestedAt >= calmTime {
+			c.calm++
+		}
 		doublings := min(max(c.calm-calmBeforeFaster, 0), maxIncreaseDoublings)
 		level -= congestionIncrease * math.Exp2(float64(doublings)) * excess * span
 	}
--- a/routing/congestion_test.go
+++ b/routing/congestion_test.go
@@ -155,3 +155,17 @@
 		t.Errorf("%d were given up in the queue, and %.2f of arrivals are shed for it", len(rejects), fraction)
 	}
 }
+
+// TestTimeoutsAreNotCalm: a prefill that is given up before half of its objective may have taken any time. It does not
+// speed up the end of shedding.
+func TestTimeoutsAreNotCalm(t *testing.T) {
+	congestion := prefillCongestion{shed: 0.5, observedAt: time.Minute}
+	now := time.Minute
+	for range 20 {
+		now += 100 * ms
+		congestion.observe(now, congestionTarget)
+	}
+	if congestion.calm > 0 || congestion.shed != 0.5 {
+		t.Errorf("%d calm prefills, %.2f shed after time-outs alone, want 0.50 as before", congestion.calm, congestion.shed)
+	}
+}
