Review: a draining node takes requests that it then cuts off

Cause: connections whose stream began before SIGTERM stay open, and their next request is served until the shutdown cuts it off.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,7 +20,8 @@
 
 // cases returns whether the rule held, with a line that says why.
 var cases = map[string]func(env *environment) (held bool, summary string, err error){
-	"nested": nested,
+	"nested":  nested,
+	"restart": restart,
 }
 
 func main() {
