Review: a spoilt chunk that keeps coming leaves the client waiting

Cause: every read of an engine's stream extends its deadline, whether or not an event was completed.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,8 +20,9 @@
 
 // cases returns whether the rule held, with a line that says why.
 var cases = map[string]func(env *environment) (held bool, summary string, err error){
-	"nested":  nested,
-	"restart": restart,
+	"spoilt-stream": spoiltStream,
+	"restart":       restart,
+	"nested":        nested,
 }
 
 func main() {
