Load reports and collected events are read without deep recursion; postmortem

An engine's load report in JSON, on any reply to a node or gateway, took 2 MiB of stack when nested 9,990 deep, and an event that is collected for a client without a stream up to 8 MiB (decoded, merged and encoded as maps).

Change: load reports are checked with json.Valid and read with gjson, which doesn't recurse. Collected events may nest 128 levels; a deeper one ends the stream as one that is not valid JSON does. Two slips of the old load report parser went with it: over 64 metrics it kept a random subset, and one number that is too large voided the report.

Why it holds: decoding into maps is left only where the depth is bounded; lists of discovery and the API server are decoded into fixed types, where unknown fields are skipped without recursion.

--- a/internal/api/collector.go
+++ b/internal/api/collector.go
@@ -20,6 +20,7 @@
 // Errors of a Collector.
 var (
 	ErrTooLarge      = errors.New("api: the stream exceeds the size limit of responses that are not streamed")
+	ErrNestedTooDeep = fmt.Errorf("api: event: nested deeper than %d levels", maxEventNesting)
 	ErrNoEvents      = errors.New("api: the stream has no events")
 	ErrInvalidChoice = errors.New("api: event: a choice is not a JSON object")
 )
@@ -36,6 +37,9 @@
 	if c.size += len(data); c.size > c.maxBytes {
 		return ErrTooLarge
 	}
+	if nestingExceeds(data, maxEventNesting) {
+		return ErrNestedTooDeep
+	}
 	var event map[string]any
 	if err := json.Unmarshal(data, &event); err != nil {
 		return fmt.Errorf("api: event: %w", err)
--- a/internal/api/collector_test.go
+++ b/internal/api/collector_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 )
 
@@ -61,6 +62,15 @@
 	if err := NewCollector(true, 10).Add([]byte(`{"choices":[]}`)); !errors.Is(err, ErrTooLarge) {
 		t.Errorf("event over the size limit: %v", err)
 	}
+	nested := func(levels int) []byte {
+		return []byte(strings.Repeat(`{"a":`, levels) + "1" + strings.Repeat("}", levels))
+	}
+	if err := NewCollector(true, 1<<20).Add(nested(maxEventNesting + 1)); !errors.Is(err, ErrNestedTooDeep) {
+		t.Errorf("event nested too deep: %v", err)
+	}
+	if err := NewCollector(true, 1<<20).Add(nested(maxEventNesting)); err != nil {
+		t.Errorf("event nested as deep as allowed: %v", err)
+	}
 	if err := NewCollector(false, 100).Add([]byte(`{"choices":[{"index":1e9}]}`)); err == nil {
 		t.Error("a choice with an index of 1e9 was accepted")
 	}
--- a/internal/engine/loadreport.go
+++ b/internal/engine/loadreport.go
@@ -5,6 +5,8 @@
 	"math"
 	"strconv"
 	"strings"
+
+	"github.com/tidwall/gjson"
 )
 
 // maxLoadMetrics is the maximum number of metrics that are read from one load report.
@@ -68,22 +70,27 @@
 }
 
 func parseJSONReport(body string) loadMetricMap {
-	var fields map[string]any
-	if json.Unmarshal([]byte(body), &fields) != nil {
+	report := gjson.Parse(body)
+	if !json.Valid([]byte(body)) || !report.IsObject() {
 		return nil
 	}
 	metrics := loadMetricMap{}
-	for name, field := range fields {
-		switch field := field.(type) {
-		case float64:
-			metrics.add(name, field)
-		case map[string]any: // named_metrics, request_cost, utilization
-			for key, value := range field {
-				if number, ok := value.(float64); ok {
-					metrics.add(name+"."+key, number)
-				}
-			}
+	metrics.addNumbers(report, "")
+	report.ForEach(func(name, field gjson.Result) bool {
+		if field.IsObject() { // named_metrics, request_cost, utilization
+			metrics.addNumbers(field, name.Str+".")
 		}
-	}
+		return true
+	})
 	return metrics
 }
+
+// addNumbers adds the fields of an object that are numbers, with prefix before their names.
+func (m loadMetricMap) addNumbers(object gjson.Result, prefix string) {
+	object.ForEach(func(name, field gjson.Result) bool {
+		if field.Type == gjson.Number {
+			m.add(prefix+name.Str, field.Num)
+		}
+		return true
+	})
+}
--- a/internal/node/protocol/nesting_test.go
+++ b/internal/node/protocol/nesting_test.go
@@ -7,6 +7,7 @@
 	"testing"
 
 	"brackenbend/internal/api"
+	"brackenbend/internal/engine"
 )
 
 // maxMessageStack is the largest growth of the stacks, in bytes, that parsing one message may cause. It is the size
@@ -45,6 +46,8 @@
 		"reply to a prefill":   func(message []byte) { parseCachedTokens(message) },
 		"OpenAI client's body": func(message []byte) { _, _ = api.Parse(api.PathChat, message) },
 		"vLLM engine's reply":  func(message []byte) { _, _ = api.ParsePrefillReply(message) },
+		"collected event":      func(message []byte) { _ = api.NewCollector(true, 1<<20).Add(message) },
+		"load report":          func(message []byte) { engine.ParseLoadReport("JSON " + string(message)) },
 	}
 	for parser, parse := range parsers {
 		for name, message := range messages {
