A draining gateway rejects requests that arrive after its accept window

Cause: clientConn.serveCompletion rejected requests after the window only where AcceptWhileDraining is 0, which it never is on a node. Elsewhere whoever reached the next read was served: the next request after a stream, one on an idle connection in the 50 ms after the window, and one whose head came inside the window and whose body ended later. Ruled out: the listener (closed at the window's end), connections kept after other responses (they say Connection: close), the abort itself (it cuts what was taken, in time for SIGKILL).

Change: after the window a request is rejected with 503 and Connection: close, before its body is read, and once more when the body has arrived. The client knows that nothing was done, and may try again elsewhere.

--- a/internal/gateway/conn_request.go
+++ b/internal/gateway/conn_request.go
@@ -37,7 +37,7 @@
 	return c.respond(req, body, errorResponse(apiErr))
 }
 
-// shed rejects a request that exceeds a limit, before its body is read.
+// shed rejects a request that the gateway can't take, such as one that exceeds a limit.
 func (c *clientConn) shed(req *http1.Request, body *http1.Body, reason, message string) bool {
 	c.gateway.metrics.EarlyRejections.WithLabelValues(reason).Inc()
 	return c.respond(req, body, shedResponse(message))
@@ -58,11 +58,17 @@
 	b.bytes = 0
 }
 
+// shedWhileDraining rejects a request that arrives after the time of AcceptWhileDraining: the shutdown would cut its
+// answer off.
+func (c *clientConn) shedWhileDraining(req *http1.Request, body *http1.Body) bool {
+	return c.shed(req, body, "draining", "this front is going down; nothing was done")
+}
+
 // serveCompletion serves a completion request within the limits on open requests and buffered body bytes.
 func (c *clientConn) serveCompletion(req *http1.Request, body *http1.Body) bool {
 	g := c.gateway
-	if g.drain.deadlinePassed() && g.AcceptWhileDraining == 0 {
-		return c.shed(req, body, "draining", "this front is going down; nothing was done")
+	if g.drain.deadlinePassed() {
+		return c.shedWhileDraining(req, body)
 	}
 	if g.openRequests.Add(1) > int64(g.Limits.MaxOpenRequests) {
 		g.openRequests.Add(-1)
@@ -90,6 +96,9 @@
 	if !ok {
 		return false
 	}
+	if g.drain.deadlinePassed() { // the body may have arrived long after the head
+		return c.shedWhileDraining(req, body)
+	}
 	return c.serveParsed(req, body, content, &reservation)
 }
 
