A stream that begins after the accept window says Connection: close; postmortem

What callers saw: a draining gateway told clients to keep a connection open on which it takes nothing more, so that they learned of the drain from a rejection.

Cause: keepAlive of a stream was decided when its request was accepted, and not looked at again when its head was written.

Change: attempt.Begin, which owns the answer, decides it anew.

--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"brackenbend/internal/http1"
 )
 
 // startDrain lets the gateway drain with an accept window that is over at once, but is not 0 as without one.
@@ -81,3 +83,19 @@
 		})
 	}
 }
+
+// TestStreamBegunAfterAcceptWindowSaysClose guards against clients that learn only from a rejection that a gateway
+// drains: a stream's head promised an open connection if its request was accepted before the end of the window.
+func TestStreamBegunAfterAcceptWindowSaysClose(t *testing.T) {
+	tg := newTestGateway(t, "", "reader", "writer")
+	prefilled, drained := make(chan struct{}), make(chan struct{})
+	tg.enginesOf("reader")[0].AfterPrefill(func() { close(prefilled); <-drained })
+	conn := tg.dial(chatRequest(chatBody(true, 3), ""))
+	<-prefilled
+	tg.startDrain()
+	close(drained)
+	got, err := readAll(conn)
+	if err != nil || !strings.Contains(got, "Connection: close") || !strings.HasSuffix(got, http1.LastChunk) {
+		t.Errorf("%v: %q", err, got)
+	}
+}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -45,7 +45,6 @@
 	conn           *clientConn
 	collector      *api.Collector // collects the answer for a client that doesn't stream; nil for one that does
 	chunked        bool           // the client supports chunked bodies
-	keepAlive      bool           // the connection stays open after the answer
 	acceptedAt     time.Time
 	deadline       time.Time // for the first token or a final response
 	answerDeadline time.Time // for the whole answer; zero = unknown
@@ -53,10 +52,11 @@
 	state atomicAnswerState
 	done  chan struct{} // closed once the response is set or the stream has ended
 
-	// Set by the owner of the answer before done is closed.
-	response Response
-	result   string // one of the result constants
-	reason   string // why the request was not served; "" if it was
+	// Set by the owner of the answer before done is closed; keepAlive also by the connection's goroutine at the start.
+	keepAlive bool // the connection stays open after the answer
+	response  Response
+	result    string // one of the result constants
+	reason    string // why the request was not served; "" if it was
 
 	eventCount atomic.Int64 // events in the stream
 	firstToken atomic.Int64 // nanoseconds from acceptedAt to the first token
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -25,8 +25,8 @@
 	return max(monotonic.Now().Add(d.grace), d.deadline.Load()).Deadline()
 }
 
-// deadlinePassed reports whether the gateway is draining and the time of AcceptWhileDraining is over. From then on each
-// response ends its connection, except a stream whose request was accepted before.
+// deadlinePassed reports whether the gateway is draining and the time of AcceptWhileDraining is over. From then on
+// requests are rejected, and each response that begins ends its connection.
 func (d *drainState) deadlinePassed() bool {
 	return d.started.Load() && monotonic.Now() >= d.deadline.Load()
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,6 +54,9 @@
 	r.releaseBodyBytes()
 	r.firstToken.Store(int64(time.Since(r.acceptedAt)))
 	r.conn.extendReadDeadline(r.answerDeadline)
+	if r.conn.gateway.drain.deadlinePassed() {
+		r.keepAlive = false
+	}
 	a.post(routing.FirstToken{
 		Request: r.id, Attempt: a.index, Endpoint: a.endpoint.ID, Elapsed: time.Since(a.startedAt),
 	}, nil)
