Only events extend the deadline of an engine's stream

Cause: streamRelay.extendDeadline moved the read deadline to StreamIdleTimeout from now before each read, whatever the read before had brought. Evidence: on a connection that counts them, 23 deadlines for 3 events and 20 later reads without one. Ruled out: that a chunk has no deadline (the same count; a silent engine is given up in time), the end of the client's connection being late (3.8 s now), and the limits on sizes (64 KiB for an event, about 50 s away at that pace).

Change: the deadline is set when an event with data has arrived, and at no other time. Comments don't count: a client waits for events. The setting stream-idle of serve means the same.

Why it holds: the deadline is at least 7/8 of the time-out after each event (it is set at most eight times in one), and nothing else moves it.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -47,7 +47,7 @@
 	BodyTimeout          time.Duration `cfg:"body-time"`     // to read a whole body
 	IdleTimeout          time.Duration `cfg:"idle-time"`     // between the requests of a connection
 	WriteTimeout         time.Duration `cfg:"stall-time"`    // a client that reads nothing for this long is disconnected
-	StreamIdleTimeout    time.Duration `cfg:"stream-idle"`   // longest pause between the bytes of an engine's stream
+	StreamIdleTimeout    time.Duration `cfg:"stream-idle"`   // longest pause between the events of an engine's stream
 	MaxBufferedBodyBytes Size          `cfg:"bodies-memory"` // of all request bodies in memory
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -39,7 +39,7 @@
 
 	DialTimeout       time.Duration
 	HeaderTimeout     time.Duration // from the first byte of a response header to its end; 0 = until the call's deadline
-	StreamIdleTimeout time.Duration // longest wait for data within a stream; with HeaderTimeout also for the first event
+	StreamIdleTimeout time.Duration // longest wait between the events of a stream; with HeaderTimeout also for the first
 
 	MaxStreamBytes int64 // size limit of a whole stream, in bytes; 0 = no limit
 	MaxEventBytes  int   // size limit of one event, in bytes
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -42,6 +42,7 @@
 	buf           []byte  // *pooledBuffer, or a larger buffer after growBuffer
 	filled        int     // bytes in buf that were read and not yet passed on
 	bytesRead     int64   // bytes read
+	eventReceived bool    // an event has arrived since extendDeadline was called last
 	deadlineSetAt time.Time
 }
 
@@ -94,12 +95,13 @@
 	}
 }
 
-// extendDeadline sets the read deadline of a stream that has begun to StreamIdleTimeout from now, unless it was set
-// recently.
+// extendDeadline sets the read deadline to StreamIdleTimeout from now if an event has arrived, unless it was set
+// recently. Comments and the bytes of an incomplete event don't extend it: the client waits for events.
 func (r *streamRelay) extendDeadline() error {
-	if !r.attempt.stream.begun {
+	if !r.eventReceived {
 		return nil
 	}
+	r.eventReceived = false
 	now := time.Now()
 	if now.Sub(r.deadlineSetAt) <= r.client.StreamIdleTimeout/maxDeadlineUpdates {
 		return nil
@@ -203,6 +205,7 @@
 		}
 		stream.begun = true
 	}
+	r.eventReceived = true
 	if string(data) == sse.Done {
 		stream.lastEventReceived = true
 		return nil
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -112,3 +112,58 @@
 		t.Fatalf("%s: cached tokens %v, load report %v", name, a.stream.cachedTokens, a.stream.loadReport)
 	}
 }
+
+// deadlineConn is a connection that delivers one part in each read and counts the read deadlines that are set.
+type deadlineConn struct {
+	net.Conn
+	parts     []string
+	deadlines int
+}
+
+func (c *deadlineConn) Read(p []byte) (int, error) {
+	if len(c.parts) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(p, c.parts[0])
+	if c.parts[0] = c.parts[0][n:]; c.parts[0] == "" {
+		c.parts = c.parts[1:]
+	}
+	return n, nil
+}
+
+func (c *deadlineConn) SetReadDeadline(time.Time) error {
+	c.deadlines++
+	return nil
+}
+
+// TestOnlyEventsExtendStreamDeadline guards against clients that are left waiting by an engine whose stream goes on
+// without events: each byte extended the deadline.
+func TestOnlyEventsExtendStreamDeadline(t *testing.T) {
+	const events, laterParts = 3, 20
+	for name, part := range map[string]string{
+		"comments":                      chunk(": ping\n\n"),
+		"bytes of an event without end": chunk("x"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn := &deadlineConn{parts: []string{streamHeader}}
+			for range events {
+				conn.parts = append(conn.parts, chunk("data: {}\n\n"))
+			}
+			for range laterParts {
+				conn.parts = append(conn.parts, part)
+			}
+			client := newTestClient()
+			client.StreamIdleTimeout = time.Nanosecond // no deadline counts as set recently
+			pc := newPersistConn(conn)
+			resp, err := http1.ReadResponse(pc.br, client.Limits)
+			if err != nil {
+				t.Fatal(err)
+			}
+			stream := newStreamRelay(client, &Attempt{}, pc, resp, discardSink{})
+			stream.relay()
+			if conn.deadlines != events {
+				t.Errorf("%d read deadlines were set for %d events", conn.deadlines, events)
+			}
+		})
+	}
+}
