Empty lines no longer keep a watch of EndpointSlices alive

A peer that sends empty lines and no event kept it open for good, and the endpoint list went stale behind it.

Cause: Watcher.watch extended its time-out by each line, before it looked whether the line is an event.

Change: an event or a bookmark that was parsed extends it, nothing else.

--- a/internal/endpointslice/client.go
+++ b/internal/endpointslice/client.go
@@ -95,7 +95,6 @@
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(nil, maxEventBytes)
 	for lines.Scan() {
-		idleTimer.Reset(w.WatchTimeout)
 		if len(bytes.TrimSpace(lines.Bytes())) == 0 {
 			continue
 		}
@@ -103,6 +102,7 @@
 		if err != nil {
 			return err
 		}
+		idleTimer.Reset(w.WatchTimeout) // only events extend the watch
 		if err := w.applyEvent(event); err != nil {
 			return err
 		}
