Draining: open connections are served on where clients resume broken streams

There a request on an open connection is not lost when the shutdown cuts its stream off: it continues at another replica, which at the end of a drain may be the only way to get service.

Change: Gateway.rejectsWhileDraining is false there, as before the rejection. The end of the window goes on to close idle connections and the listener.

TestOpenConnectionsAreServedWhereStreamsResume holds it; it fails with the rejection everywhere.

--- a/internal/gateway/conn_request.go
+++ b/internal/gateway/conn_request.go
@@ -58,8 +58,7 @@
 	b.bytes = 0
 }
 
-// shedWhileDraining rejects a request that arrives after the time of AcceptWhileDraining: the shutdown would cut its
-// answer off.
+// shedWhileDraining rejects a request whose answer the shutdown would cut off.
 func (c *clientConn) shedWhileDraining(req *http1.Request, body *http1.Body) bool {
 	return c.shed(req, body, "draining", "this front is going down; nothing was done")
 }
@@ -67,7 +66,7 @@
 // serveCompletion serves a completion request within the limits on open requests and buffered body bytes.
 func (c *clientConn) serveCompletion(req *http1.Request, body *http1.Body) bool {
 	g := c.gateway
-	if g.drain.deadlinePassed() {
+	if g.rejectsWhileDraining() {
 		return c.shedWhileDraining(req, body)
 	}
 	if g.openRequests.Add(1) > int64(g.Limits.MaxOpenRequests) {
@@ -96,7 +95,7 @@
 	if !ok {
 		return false
 	}
-	if g.drain.deadlinePassed() { // the body may have arrived long after the head
+	if g.rejectsWhileDraining() { // the body may have arrived long after the head
 		return c.shedWhileDraining(req, body)
 	}
 	return c.serveParsed(req, body, content, &reservation)
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -99,3 +99,18 @@
 		t.Errorf("%v: %q", err, got)
 	}
 }
+
+// TestOpenConnectionsAreServedWhereStreamsResume checks that requests on open connections are still taken after the
+// window if clients resume broken streams, since what the shutdown cuts off continues at another replica.
+func TestOpenConnectionsAreServedWhereStreamsResume(t *testing.T) {
+	tg := newTestGateway(t, "", "reader", "writer")
+	tg.gateway.Routing.ResumeStreams = true
+	conn := tg.dial(chatRequest(chatBody(true, 300), ""))
+	awaitStream(t, conn)
+	tg.startDrain()
+	send(t, conn, chatRequest(chatBody(true, 3), ""))
+	if got, err := readAll(conn); err != nil || strings.Count(got, "[DONE]") != 2 {
+		t.Errorf("%v: %q", err, got)
+	}
+	tg.requireArrivals("writer", 2)
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -25,12 +25,22 @@
 	return max(monotonic.Now().Add(d.grace), d.deadline.Load()).Deadline()
 }
 
-// deadlinePassed reports whether the gateway is draining and the time of AcceptWhileDraining is over. From then on
-// requests are rejected, and each response that begins ends its connection.
+// deadlinePassed reports whether the gateway is draining and the time of AcceptWhileDraining is over. From then on each
+// response ends its connection, except a stream whose request was accepted before.
 func (d *drainState) deadlinePassed() bool {
 	return d.started.Load() && monotonic.Now() >= d.deadline.Load()
 }
 
+// rejectsWhileDraining reports whether the gateway drains and takes no more requests: the time of AcceptWhileDraining
+// is over, and the shutdown would cut off what began now. If clients resume broken streams, requests on open connections
+// are taken until the shutdown ends the streams, which continue at another replica.
+func (g *Gateway) rejectsWhileDraining() bool {
+	if !g.drain.deadlinePassed() {
+		return false
+	}
+	return g.AcceptWhileDraining == 0 || !g.Routing.ResumeStreams
+}
+
 // Shutdown shuts the gateway down gracefully: it stops accepting connections and requests, as AcceptWhileDraining says,
 // and waits until open requests are answered. Once ctx is done, the router rejects or fails the requests without an
 // answer, and connections on which an answer has begun are closed. Shutdown returns when no connection and no attempt
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -54,7 +54,7 @@
 	r.releaseBodyBytes()
 	r.firstToken.Store(int64(time.Since(r.acceptedAt)))
 	r.conn.extendReadDeadline(r.answerDeadline)
-	if r.conn.gateway.drain.deadlinePassed() {
+	if r.conn.gateway.rejectsWhileDraining() {
 		r.keepAlive = false
 	}
 	a.post(routing.FirstToken{
