Gateway: the test of connections over the limit fails on a time-out

What was wrong: TestLimitsShedRequestsAndConnections looked for context.DeadlineExceeded, but a read that times out gives os.ErrDeadlineExceeded, so it passed also if the connection over the limit stayed open.

Change: the error that a read gives.

--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -1,11 +1,11 @@
 package gateway
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -84,7 +84,7 @@
 		last = tg.dial("")
 	}
 	_ = last.SetReadDeadline(time.Now().Add(10 * time.Second))
-	if _, err := last.Read(make([]byte, 1)); err == nil || errors.Is(err, context.DeadlineExceeded) {
+	if _, err := last.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("a connection over the limit was not closed: %v", err)
 	}
 }
