A malformed stream can no longer end the gateway by a panic in mergeList

What callers saw: nothing yet. Two events of an engine with an object as the index of a list element, in an answer that is collected, ended the gateway with all its requests.

Cause: mergeList compared the index values whatever their type; comparing two maps panics, and nothing recovers.

Change: only an index that is a number joins elements; others are appended, as those without one are.

Measured: the first seed of FuzzCollector panics without the change; with it all seeds pass and 20 s of fuzzing find nothing.

--- a/internal/api/collector.go
+++ b/internal/api/collector.go
@@ -97,8 +97,8 @@
 var replacedStrings = []string{"role", "id", "type", "finish_reason"}
 
 // merge adds a delta to an object. Strings are appended, except those of replacedStrings; objects are merged; elements
-// of lists are merged by their index field, or appended if they have none; null changes no value; all other values are
-// replaced.
+// of lists are merged by their index field, or appended if they have no index that is a number; null changes no value;
+// all other values are replaced.
 func merge(target, delta map[string]any) {
 	for name, v := range delta {
 		oldValue := target[name]
@@ -130,14 +130,14 @@
 func mergeList(oldValue any, delta []any) any {
 	list, _ := oldValue.([]any)
 	for _, element := range delta {
-		elementDelta, ok := element.(map[string]any)
-		if _, hasIndex := elementDelta["index"]; !ok || !hasIndex {
+		elementDelta, index, ok := indexedObject(element)
+		if !ok {
 			list = append(list, element)
 			continue
 		}
 		i := slices.IndexFunc(list, func(other any) bool {
-			object, ok := other.(map[string]any)
-			return ok && object["index"] == elementDelta["index"]
+			_, otherIndex, ok := indexedObject(other)
+			return ok && otherIndex == index
 		})
 		if i < 0 {
 			list = append(list, map[string]any{})
@@ -148,6 +148,14 @@
 	return list
 }
 
+// indexedObject returns a list element that is an object, and its index. ok is false if it is no object or has no index
+// that is a number.
+func indexedObject(element any) (object map[string]any, index float64, ok bool) {
+	object, _ = element.(map[string]any)
+	index, ok = object["index"].(float64)
+	return object, index, ok
+}
+
 // JSON returns the response body. Add must not be called after it.
 func (c *Collector) JSON() ([]byte, error) {
 	if c.fields == nil {
--- a/internal/api/collector_test.go
+++ b/internal/api/collector_test.go
@@ -75,3 +75,22 @@
 		t.Error("a choice with an index of 1e9 was accepted")
 	}
 }
+
+// FuzzCollector guards against a gateway ended by an engine's events: two of them with an object as an index made the
+// collector panic. Whatever the events are, they are collected into valid JSON or rejected with an error.
+func FuzzCollector(f *testing.F) {
+	f.Add(`{"choices":[{"delta":{"tool_calls":[{"index":{}}]}}]}`, `{"choices":[{"delta":{"tool_calls":[{"index":{}}]}}]}`)
+	f.Add(`{"choices":[{"index":0.5,"delta":{"a":[{"index":[]},1]}}]}`, `{"choices":[{"delta":{"a":[{"index":null}]}}]}`)
+	f.Add(`{"id":"a","usage":{"b":1}}`, `{"id":{},"usage":[],"choices":[{"message":1,"delta":"x"}]}`)
+	f.Fuzz(func(t *testing.T, first, second string) {
+		collector := NewCollector(true, 1<<16)
+		for _, event := range []string{first, second} {
+			if collector.Add([]byte(event)) != nil {
+				return
+			}
+		}
+		if body, err := collector.JSON(); err != nil || !json.Valid(body) {
+			t.Errorf("%q: %v", body, err)
+		}
+	})
+}
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -32,8 +32,8 @@
 }
 
 // rejectsWhileDraining reports whether the gateway drains and takes no more requests: the time of AcceptWhileDraining
-// is over, and the shutdown would cut off what began now. If clients resume broken streams, requests on open connections
-// are taken until the shutdown ends the streams, which continue at another replica.
+// is over, and the shutdown would cut off what began now. If clients resume broken streams, requests on open
+// connections are taken until the shutdown ends the streams, which continue at another replica.
 func (g *Gateway) rejectsWhileDraining() bool {
 	if !g.drain.deadlinePassed() {
 		return false
