--- a/routing/longprompts_test.go
+++ b/routing/longprompts_test.go
@@ -21,7 +21,9 @@
 	requests  []longPromptsRequest         // by request id, which start at 1
 	answered  map[RequestID]bool
 
+	prefillEndpoints     int
 	observe              func(time.Duration, Event) // if set, called before each step
+	drawPrefix           func() uint64              // if set, draws the shared prefix of a request
 	stopTimedOutPrefills bool                       // endpoints stop a prefill when its attempt times out
 }
 
@@ -46,6 +48,12 @@
 )
 
 func newLongPromptsRun(t *testing.T, replicas int, weightByWork bool) *longPromptsRun {
+	t.Helper()
+	return newLongPromptsRunOn(t, longPromptsPrefillEndpoints, replicas, weightByWork)
+}
+
+// newLongPromptsRunOn is like newLongPromptsRun, with a number of prefill endpoints.
+func newLongPromptsRunOn(t *testing.T, prefillEndpoints, replicas int, weightByWork bool) *longPromptsRun {
 	t.Helper()
 	config := testConfig()
 	config.Replicas, config.WeightByWork, config.SlowStartFor = replicas, weightByWork, 0
@@ -57,10 +65,12 @@
 		freeAt:   map[EndpointID]time.Duration{},
 		requests: make([]longPromptsRequest, 1),
 		answered: map[RequestID]bool{},
+
+		prefillEndpoints: prefillEndpoints,
 	}
 	for i := range replicas {
 		h := &harness{router: newTestRouter(t, config, uint64(100+i)), now: run.now}
-		h.step(EndpointList{Scope: ListFull, Endpoints: endpoints(longPromptsPrefillEndpoints, 20)})
+		h.step(EndpointList{Scope: ListFull, Endpoints: endpoints(prefillEndpoints, 2*prefillEndpoints)})
 		run.harnesses = append(run.harnesses, h)
 	}
 	return run
@@ -73,15 +83,17 @@
 
 // simulate generates arrivals at a load relative to the capacity of the prefill endpoints and processes all events.
 func (run *longPromptsRun) simulate(load float64) {
-	rate := load * longPromptsPrefillEndpoints * longPromptsPrefillRate / longPromptsMeanLength
+	rate := load * float64(run.prefillEndpoints) * longPromptsPrefillRate / longPromptsMeanLength
 	for at := 0.0; at < longPromptsDuration.Seconds(); at += run.rnd.ExpFloat64() / rate {
 		id, replica := RequestID(len(run.requests)), run.rnd.Intn(len(run.harnesses))
 		logarithm := longPromptsSigma*run.rnd.NormFloat64() - longPromptsSigma*longPromptsSigma/2
 		promptTokens := longPromptsMeanLength * math.Exp(logarithm)
 		run.requests = append(run.requests, longPromptsRequest{promptTokens: promptTokens})
-		run.schedule(time.Duration(at*float64(time.Second)), replica, Request{
-			ID: id, Session: uint64(id), PromptTokens: promptTokens, MaxOutputTokens: 100,
-		})
+		request := Request{ID: id, Session: uint64(id), PromptTokens: promptTokens, MaxOutputTokens: 100}
+		if run.drawPrefix != nil {
+			request.Prefix = run.drawPrefix()
+		}
+		run.schedule(time.Duration(at*float64(time.Second)), replica, request)
 	}
 	for len(run.queue.events) > 0 {
 		next := run.queue.pop()
--- a/routing/manyreplicas_test.go
+++ b/routing/manyreplicas_test.go
@@ -92,9 +92,9 @@
 ) map[RequestID]time.Duration {
 	rnd := rand.New(rand.NewSource(int64(replicas) + 5))
 	firstTokens := map[RequestID]time.Duration{}
-	var freeAt [longPromptsPrefillEndpoints]time.Duration
+	freeAt := make([]time.Duration, run.prefillEndpoints)
 	for id := RequestID(1); int(id) < len(run.requests); id++ {
-		at, endpoint := arrivedAt[id], rnd.Intn(longPromptsPrefillEndpoints)
+		at, endpoint := arrivedAt[id], rnd.Intn(run.prefillEndpoints)
 		begin := max(freeAt[endpoint], at)
 		if begin-at > longPromptsMaxBacklog {
 			continue
