Gateway: AcceptWhileDraining says until when open connections may send requests

The option's comment left out that open connections are served for longer where clients resume broken streams (Gateway.rejectsWhileDraining). Only the comment changes; the gateway's tests and linters pass.

--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -87,9 +87,10 @@
 	// MinIdleTime is how long a connection that has had a completion request must have been idle before it may be closed
 	// to make room for a new one when Limits.MaxConnections is reached; 0 = no connection is closed for that reason.
 	MinIdleTime time.Duration
-	// AcceptWhileDraining is how long after the start of a shutdown new connections and requests are still accepted. 0 =
-	// requests are rejected from the start; clients that are just connecting get defaultDrainGrace to send a request and
-	// receive the rejection.
+	// AcceptWhileDraining is how long after the start of a shutdown new connections and requests are still accepted. If
+	// clients resume broken streams (Routing.ResumeStreams), open connections may send requests for longer, until the
+	// shutdown ends the streams. 0 = requests are rejected from the start; clients that are just connecting get
+	// defaultDrainGrace to send a request and receive the rejection.
 	AcceptWhileDraining time.Duration
 	BrokenStreams       BrokenStreamPolicy
 	Pipelining          PipeliningPolicy
