Routers and planners decide the same on arm64 as on amd64

What was seen: on arm64 TestRecordedActions gave other digests in 4 of its runs and TestRecordedPlans in all 5 fleets, so an operator there had a router that decides otherwise than the one that was measured.

Cause: on arm64 the compiler fuses x*y + z into one rounding (18 places in routing/, 9 in roles/, more where they are inlined).

Change: products that are added are converted, which the language defines as a rounding. The recorded actions are unchanged.

--- a/roles/changes.go
+++ b/roles/changes.go
@@ -89,7 +89,7 @@
 	case change != nil:
 		if !change.reverted && e.Role == change.target {
 			took := min((p.now - change.since + p.config.WarmUp).Seconds(), p.config.ChangeTimeout.Seconds())
-			p.changeSeconds += changeTimeWeight * (took - p.changeSeconds)
+			p.changeSeconds += float64(changeTimeWeight * (took - p.changeSeconds))
 			p.meters[e.ID].prefill, p.meters[e.ID].decode = 0, 0
 		}
 		delete(p.pending, e.ID)
--- a/roles/demand.go
+++ b/roles/demand.go
@@ -55,8 +55,8 @@
 	}
 	dt := (report.At - m.last.At).Seconds()
 	weight := 1 - math.Exp(-dt/demandSmoothing.Seconds())
-	m.prefill += weight * (stageDemand(m.last.Prefill, report.Prefill, dt) - m.prefill)
-	m.decode += weight * (stageDemand(m.last.Decode, report.Decode, dt) - m.decode)
+	m.prefill += float64(weight * (stageDemand(m.last.Prefill, report.Prefill, dt) - m.prefill))
+	m.decode += float64(weight * (stageDemand(m.last.Decode, report.Decode, dt) - m.decode))
 	m.last, m.measured, m.trusted = *report, true, true
 }
 
--- a/roles/expert.go
+++ b/roles/expert.go
@@ -71,11 +71,11 @@
 		x.start(f, now)
 	}
 	x.finishChanges(now)
-	bothHalf := float64(f.both) / 2
-	x.loss *= math.Exp(-dt / x.lossWindow.Seconds())
+	bothHalf := float64(float64(f.both) / 2)
+	x.loss = float64(x.loss * math.Exp(-dt/x.lossWindow.Seconds()))
 	width := softMaximumWidth(float64(f.size()))
-	x.loss += dt * splitCost(f.prefillDemand, f.decodeDemand,
-		float64(x.prefillEngines)+bothHalf, float64(x.decodeEngines)+bothHalf, width)
+	x.loss += float64(dt * splitCost(f.prefillDemand, f.decodeDemand,
+		float64(x.prefillEngines)+bothHalf, float64(x.decodeEngines)+bothHalf, width))
 	x.record(f, now, dt)
 	x.startChanges(f, now, changeSeconds, maxConcurrent)
 }
@@ -140,8 +140,8 @@
 	}
 	newest := &x.history[len(x.history)-1]
 	dt = max(dt, minSampleSeconds)
-	newest.prefill += f.prefillDemand * dt
-	newest.decode += f.decodeDemand * dt
+	newest.prefill += float64(f.prefillDemand * dt)
+	newest.decode += float64(f.decodeDemand * dt)
 	newest.seconds += dt
 	expired := 0
 	for expired < len(x.history)-1 && now-x.history[expired].start > span {
@@ -163,7 +163,8 @@
 	for i := range x.history {
 		s := &x.history[i]
 		weights += s.weight
-		sum += s.weight * splitCost(s.prefill/s.seconds, s.decode/s.seconds, prefillCapacity, decodeCapacity, width)
+		cost := splitCost(s.prefill/s.seconds, s.decode/s.seconds, prefillCapacity, decodeCapacity, width)
+		sum += float64(s.weight * cost)
 	}
 	return sum / weights
 }
--- a/routing/admission.go
+++ b/routing/admission.go
@@ -39,7 +39,7 @@
 type tokenBucket struct{ level, rate float64 }
 
 func (t *tokenBucket) refill(elapsed float64) {
-	t.level = min(t.level+t.rate*elapsed, max(2*t.rate, minQuotaBurst))
+	t.level = min(t.level+float64(t.rate*elapsed), max(2*t.rate, minQuotaBurst))
 }
 
 func (t *tokenBucket) take() bool {
--- a/routing/attempts.go
+++ b/routing/attempts.go
@@ -61,7 +61,7 @@
 // objective, so that a request lost at a healthy endpoint is still answered in time. During overload every
 // attempt times out at the end of the latency objective.
 func (r *Router) timeout(req *request, a *attempt) time.Duration {
-	expected := a.cost.queued * max(r.latency.prefillPace, a.backend.pace.perToken)
+	expected := float64(a.cost.queued * max(r.latency.prefillPace, a.backend.pace.perToken))
 	minTimeout, attemptsToFinish := minPrefillTimeout, 2
 	if a.decode {
 		expected += r.latency.firstToken
@@ -117,7 +117,7 @@
 		r.mixed.observe(a, r.latency.usualFirstToken(a.cost.queued), event.Elapsed)
 	}
 	r.markAnswered(a, true)
-	r.observeSuccess(b, req, elapsed < timeoutFactor*r.latency.firstToken+trialSlack)
+	r.observeSuccess(b, req, elapsed < float64(timeoutFactor*r.latency.firstToken)+trialSlack)
 }
 
 // handleOutcome ends an attempt, updates the statistics by its result and decides how its request continues.
@@ -202,7 +202,7 @@
 	updateAverage(&r.latency.uncachedTokens[req.Class], uncached, uncachedTokensWeight)
 	b.pace.completed++
 	b.cache.store(req)
-	limit := timeoutFactor*a.cost.queued*r.latency.prefillPace + trialSlack
+	limit := float64(timeoutFactor*a.cost.queued*r.latency.prefillPace) + trialSlack
 	r.observeSuccess(b, req, event.Elapsed.Seconds() < limit)
 }
 
--- a/routing/capacity.go
+++ b/routing/capacity.go
@@ -145,7 +145,7 @@
 
 // memoryTokens is the memory that the request is expected to take while it is decoded, in tokens.
 func (req *request) memoryTokens() float64 {
-	return req.PromptTokens + expectedOutputFraction*req.MaxOutputTokens
+	return req.PromptTokens + float64(expectedOutputFraction*req.MaxOutputTokens)
 }
 
 // decodeHasCapacity reports whether the endpoints that decode have capacity for the request beyond what the
@@ -154,7 +154,7 @@
 	prefilling, free, found := 0.0, 0.0, false
 	for _, b := range r.backends.sorted {
 		if b.role == RolePrefill {
-			prefilling += float64(b.load.attempts) * req.memoryTokens()
+			prefilling += float64(float64(b.load.attempts) * req.memoryTokens())
 		} else if r.hasCapacity(b, req) {
 			found = true
 			free += r.memoryLimit(b) - b.load.memory
--- a/routing/congestion.go
+++ b/routing/congestion.go
@@ -68,7 +68,7 @@
 			c.belowTarget++
 		}
 		doublings := min(max(c.belowTarget-fastRecoveryPrefills, 0), maxIncreaseDoublings)
-		level -= admissionIncreaseRate * math.Exp2(float64(doublings)) * excess * interval
+		level -= float64(admissionIncreaseRate * math.Exp2(float64(doublings)) * excess * interval)
 	}
 	c.shedFraction = 1 - min(max(level, minAdmissionLevel), 1)
 }
@@ -76,7 +76,7 @@
 // shedFractionAt returns the fraction to be shed at a time, with the recovery while no prefill ends.
 func (c *congestionController) shedFractionAt(now time.Duration) float64 {
 	idle := max(now-c.observedAt-idleRecoveryDelay, 0).Seconds()
-	return max(c.shedFraction-idleRecoveryRate*idle, 0)
+	return max(c.shedFraction-float64(idleRecoveryRate*idle), 0)
 }
 
 // tokenBudget returns the length in tokens, including promptOverhead, up to which all prompts are admitted
--- a/routing/loadshed.go
+++ b/routing/loadshed.go
@@ -63,15 +63,15 @@
 		adjustment = 0
 	}
 	s.updatedAt = now
-	s.shedFraction = min(
-		max(1-(1-s.shedFraction)*math.Exp(-shedAdjustRate*elapsed*adjustment), 0), maxShedFraction)
+	admitted := float64((1 - s.shedFraction) * math.Exp(-shedAdjustRate*elapsed*adjustment))
+	s.shedFraction = min(max(1-admitted, 0), maxShedFraction)
 }
 
 // shedBias returns how many times more likely than the average a request of the given value is shed: the mean
 // value divided by its own, within maxShedBias.
 func (s *loadShedder) shedBias(value float64) float64 {
 	s.meanValue = cmp.Or(s.meanValue, value)
-	s.meanValue += meanValueWeight * (value - s.meanValue)
+	s.meanValue += float64(meanValueWeight * (value - s.meanValue))
 	return min(max(s.meanValue/max(value, 1e-9), 1/maxShedBias), maxShedBias)
 }
 
--- a/routing/placement.go
+++ b/routing/placement.go
@@ -72,8 +72,8 @@
 // their slowness.
 func (r *Router) addMixedCredit() {
 	mixed, decodes := &r.backends.roles[RoleMixed], &r.backends.roles[RoleDecode]
-	decodeCapacity := mixedCapacityFactor *
-		min(mixed.healthy, mixed.memory/decodes.memory*max(decodes.healthy, 1e-9))
+	decodeCapacity := float64(mixedCapacityFactor *
+		min(mixed.healthy, mixed.memory/decodes.memory*max(decodes.healthy, 1e-9)))
 	share := min(
 		decodeCapacity/(decodeCapacity+decodes.healthy),
 		mixedCapacityFactor*mixed.healthy/max(r.backends.roles[RolePrefill].healthy, 1),
--- a/routing/promptlengths.go
+++ b/routing/promptlengths.go
@@ -121,8 +121,8 @@
 	own := meanBudgetProbability(lengths, budget, 1)
 	// The mean over all prompts includes the band: solve mean = minAdmissionFraction * (others +
 	// fraction*mean).
-	others := meanBudgetProbability(l.sorted, budget, 1) - fraction*own
-	required := minAdmissionFraction * others / (1 - minAdmissionFraction*fraction)
+	others := meanBudgetProbability(l.sorted, budget, 1) - float64(fraction*own)
+	required := minAdmissionFraction * others / (1 - float64(minAdmissionFraction*fraction))
 	if own >= required {
 		return probability
 	}
--- a/routing/silence.go
+++ b/routing/silence.go
@@ -44,7 +44,7 @@
 // much longer than the usual response time. Except during overload, decodes of a class that is not idempotent
 // have no time-out, so without this check a stall would only be noticed at their deadlines.
 func (r *Router) maxSilence(b *backend) time.Duration {
-	usual := b.load.uncached * r.latency.prefillPace
+	usual := float64(b.load.uncached * r.latency.prefillPace)
 	if b.role != RolePrefill {
 		usual += r.latency.firstToken
 	}
--- a/routing/slowstart.go
+++ b/routing/slowstart.go
@@ -47,7 +47,7 @@
 	b.load.dropOldSlowStartSends(r.now, r.config.OverloadAfter)
 	stats := &r.backends.roles[b.role]
 	share := min(maxSlowStartShare, slowStartFraction*r.config.OverloadFactor) * r.capacityFraction(b)
-	budget := share * stats.rate * r.config.OverloadAfter.Seconds()
+	budget := float64(share * stats.rate * r.config.OverloadAfter.Seconds())
 	if budget >= 1 || len(b.load.slowStartSends) > 0 {
 		return float64(len(b.load.slowStartSends)+1) <= budget
 	}
--- a/routing/stats.go
+++ b/routing/stats.go
@@ -36,7 +36,7 @@
 
 // updateAverage updates an exponential moving average with a sample of the given weight.
 func updateAverage(average *float64, sample, weight float64) {
-	*average += weight * (sample - *average)
+	*average += float64(weight * (sample - *average))
 }
 
 // decay reduces a value exponentially with the elapsed time, in seconds. It skips the computation for 0, the
@@ -65,13 +65,14 @@
 
 // minServiceTime is a lower bound of the time until a queued request of a class gets its first token.
 func (l *latencyStats) minServiceTime(class int) time.Duration {
-	return seconds(l.uncachedTokens[class]*l.prefillPace/minServiceDivisor + l.firstToken/minServiceDivisor)
+	return seconds(
+		float64(l.uncachedTokens[class]*l.prefillPace/minServiceDivisor) + float64(l.firstToken/minServiceDivisor))
 }
 
 // usualFirstToken is the usual time to the first token, in seconds, if the given number of tokens has to be
 // prefilled before.
 func (l *latencyStats) usualFirstToken(queued float64) float64 {
-	return queued*l.prefillPace + l.firstToken
+	return float64(queued*l.prefillPace) + l.firstToken
 }
 
 // pace is how fast an endpoint works, as observed by this replica.
