Streams go on after the drain's end until SIGKILL comes

Cause: at the end of the drain, 150 ms before the earliest SIGKILL, Gateway.Shutdown aborted every connection, as if the earliest kill were the kill. Requests without an answer need their final one by then; a stream has its answer, and nothing is gained by ending it.

Change: Options.StreamsOutlastShutdown, set by the node where clients don't resume streams. What bounded streams before bounds them still (4 s without an event, 5 s without a read, size).

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -136,6 +136,12 @@
 	}
 }
 
+// streaming reports whether a stream to the client has begun and not ended.
+func (c *clientConn) streaming() bool {
+	request := c.currentRequest.Load()
+	return request != nil && request.collector == nil && request.state.Load() == answerStreaming
+}
+
 // setReadDeadline sets the deadline for the following reads. On an aborted connection they fail at once.
 func (c *clientConn) setReadDeadline(deadline time.Time) error {
 	c.readDeadlineMu.Lock()
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -92,6 +92,9 @@
 	// shutdown ends the streams. 0 = requests are rejected from the start; clients that are just connecting get
 	// defaultDrainGrace to send a request and receive the rejection.
 	AcceptWhileDraining time.Duration
+	// StreamsOutlastShutdown means that the end of the time for a shutdown only answers requests without an answer:
+	// streams that have begun go on until they end, and Shutdown waits for them. Otherwise they are cut off then.
+	StreamsOutlastShutdown bool
 	BrokenStreams       BrokenStreamPolicy
 	Pipelining          PipeliningPolicy
 	RetryAfter          RetryAfterFormat
--- a/internal/gateway/shutdown.go
+++ b/internal/gateway/shutdown.go
@@ -43,8 +43,8 @@
 
 // Shutdown shuts the gateway down gracefully: it stops accepting connections and requests, as AcceptWhileDraining says,
 // and waits until open requests are answered. Once ctx is done, the router rejects or fails the requests without an
-// answer, and connections on which an answer has begun are closed. Shutdown returns when no connection and no attempt
-// is left.
+// answer, and connections on which an answer has begun are closed, except for streams with StreamsOutlastShutdown.
+// Shutdown returns when no connection and no attempt is left.
 func (g *Gateway) Shutdown(ctx context.Context) {
 	g.startDraining()
 	done := make(chan struct{})
@@ -52,17 +52,24 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
-		g.loop.shutdownRouter()
-		g.mu.Lock()
-		for c := range g.conns {
-			c.abort()
-		}
-		g.mu.Unlock()
+		g.endDrain()
 		<-done
 	}
 	g.loop.close()
 }
 
+// endDrain answers all requests that have no answer and ends the connections, except those whose stream may go on.
+func (g *Gateway) endDrain() {
+	g.loop.shutdownRouter()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if !g.StreamsOutlastShutdown || !c.streaming() {
+			c.abort()
+		}
+	}
+}
+
 func (g *Gateway) startDraining() {
 	g.drain.deadline.Store(monotonic.Now().Add(g.AcceptWhileDraining))
 	g.mu.Lock()
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -7,8 +7,8 @@
 const (
 	killGrace       = 700 * time.Millisecond
 	maxKillDeadline = 3 * time.Second
-	// drainMargin is how long before the platform's time limit open requests are ended, so that their final answers still
-	// arrive.
+	// drainMargin is how long before the platform's time limit open requests without an answer get their final one, so
+	// that it still arrives.
 	drainMargin = 150 * time.Millisecond
 	// maxAcceptWindow is how long a draining node accepts connections at most, unless clients resume broken streams. The
 	// platform routes new connections to it for 0.4 s after SIGTERM, and a request that arrives in this time must be
@@ -39,9 +39,10 @@
 	return max(window, c.longestDeadline()*2/3)
 }
 
-// drainTimeout returns how long after SIGTERM open requests are ended, which is shortly before SIGKILL. If clients
-// resume broken streams, they need another node that accepts new connections, and the platform restarts the next node
-// once the longest deadline has passed. Streams are then ended shortly before that time.
+// drainTimeout returns how long after SIGTERM open requests without an answer are ended, which is shortly before the
+// earliest SIGKILL. Streams go on until they end or SIGKILL comes. If clients resume broken streams, they need another
+// node that accepts new connections, and the platform restarts the next node once the longest deadline has passed.
+// Everything that is open, streams as well, is then ended shortly before that time.
 func (c *Config) drainTimeout() time.Duration {
 	if !c.Site.Routing.ResumeStreams {
 		return c.killDelay() - drainMargin
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,8 +135,9 @@
 	n.log.Info("configuration reloaded", zap.String("discovery", config.Discovery))
 }
 
-// Stop drains the node and shuts it down: requests that are not completed within the drain timeout are ended. Further
-// calls wait for the first to return.
+// Stop drains the node and shuts it down: requests that have no answer within the drain timeout are ended. Streams are
+// ended then only if clients resume broken streams, else Stop waits for them. Further calls wait for the first to
+// return.
 func (n *Node) Stop() {
 	n.stopOnce.Do(n.shutdown)
 	n.log.Info("node stopped")
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -60,9 +60,11 @@
 		FirstRequestTimeout: firstRequestTimeout,
 		MinIdleTime:         minClientIdleTime,
 		AcceptWhileDraining: c.acceptWhileDraining(),
-		BrokenStreams:       gateway.CloseConnection,
-		Pipelining:          gateway.RejectPipelining,
-		RetryAfter:          retryAfter,
+		// Clients that resume broken streams find the rest elsewhere, but only while another node is up.
+		StreamsOutlastShutdown: !site.Routing.ResumeStreams,
+		BrokenStreams:          gateway.CloseConnection,
+		Pipelining:             gateway.RejectPipelining,
+		RetryAfter:             retryAfter,
 	}
 }
 
