The silence within a stream counts from its last event

What callers saw: a writer that hung for 3.7 s in the middle of its streams lost two to four of six, cut 3.6 to 3.8 s after their last event, though 4 s of silence are allowed.

Cause: extendDeadline did not renew a read deadline that was set within an eighth of the idle timeout before, so the silence counted from an event up to 0.5 s before the last one.

Change: each event sets the deadline.

Measured: TestSilenceCountsFromTheLastEvent failed before ("1 deadlines were set for 20 events") and passes.

--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -18,10 +18,6 @@
 // Client.MaxEventBytes. A stream that waits for its next event holds no buffer.
 const relayBufferSize = 8192
 
-// maxDeadlineUpdates is the maximum number of times per StreamIdleTimeout that a read deadline is set. Setting it for
-// each event would reset a timer each time.
-const maxDeadlineUpdates = 8
-
 var relayBuffers = sync.Pool{New: func() any { b := make([]byte, relayBufferSize); return &b }}
 
 // Prefixes of the data of error events and usage events, in the form that engines write them.
@@ -43,7 +39,6 @@
 	filled        int     // bytes in buf that were read and not yet passed on
 	bytesRead     int64   // bytes read
 	eventReceived bool    // an event has arrived since extendDeadline was called last
-	deadlineSetAt time.Time
 }
 
 // newStreamRelay returns a relay for the stream whose response header resp was read from pc.
@@ -95,19 +90,14 @@
 	}
 }
 
-// extendDeadline sets the read deadline to StreamIdleTimeout from now if an event has arrived, unless it was set
-// recently. Comments and the bytes of an incomplete event don't extend it: the client waits for events.
+// extendDeadline sets the read deadline to StreamIdleTimeout from now if an event has arrived. Comments and the bytes of
+// an incomplete event don't extend it: the client waits for events.
 func (r *streamRelay) extendDeadline() error {
 	if !r.eventReceived {
 		return nil
 	}
 	r.eventReceived = false
-	now := time.Now()
-	if now.Sub(r.deadlineSetAt) <= r.client.StreamIdleTimeout/maxDeadlineUpdates {
-		return nil
-	}
-	r.deadlineSetAt = now
-	return r.conn.SetReadDeadline(now.Add(r.client.StreamIdleTimeout))
+	return r.conn.SetReadDeadline(time.Now().Add(r.client.StreamIdleTimeout))
 }
 
 func (r *streamRelay) acquireBuffer() {
--- a/internal/engine/relay_test.go
+++ b/internal/engine/relay_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -113,11 +114,11 @@
 	}
 }
 
-// deadlineConn is a connection that delivers one part in each read and counts the read deadlines that are set.
+// deadlineConn is a connection that delivers one part in each read and records the read deadlines that are set.
 type deadlineConn struct {
 	net.Conn
 	parts     []string
-	deadlines int
+	deadlines []time.Time
 }
 
 func (c *deadlineConn) Read(p []byte) (int, error) {
@@ -131,11 +132,58 @@
 	return n, nil
 }
 
-func (c *deadlineConn) SetReadDeadline(time.Time) error {
-	c.deadlines++
+func (c *deadlineConn) SetReadDeadline(deadline time.Time) error {
+	c.deadlines = append(c.deadlines, deadline)
 	return nil
 }
 
+// relayFrom reads a response's header from conn and relays its stream.
+func relayFrom(t *testing.T, conn net.Conn, client *Client) {
+	t.Helper()
+	pc := newPersistConn(conn)
+	resp, err := http1.ReadResponse(pc.br, client.Limits)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream := newStreamRelay(client, &Attempt{}, pc, resp, discardSink{})
+	stream.relay()
+}
+
+// pausedConn is a deadlineConn on which the next part arrives only when the clock has moved on, and which records when
+// each part was read.
+type pausedConn struct {
+	deadlineConn
+	readAt []time.Time
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	for len(c.readAt) > 0 && !time.Now().After(c.readAt[len(c.readAt)-1]) {
+		runtime.Gosched()
+	}
+	c.readAt = append(c.readAt, time.Now())
+	return c.deadlineConn.Read(p)
+}
+
+// TestSilenceCountsFromTheLastEvent guards against streams that are cut off before their engine was silent for
+// StreamIdleTimeout: an event soon after another one did not extend the deadline.
+func TestSilenceCountsFromTheLastEvent(t *testing.T) {
+	const events = 20
+	conn := &pausedConn{deadlineConn: deadlineConn{parts: []string{streamHeader}}}
+	for range events {
+		conn.parts = append(conn.parts, chunk("data: {}\n\n"))
+	}
+	client := newTestClient()
+	relayFrom(t, conn, client)
+	if len(conn.deadlines) != events {
+		t.Fatalf("%d deadlines were set for %d events", len(conn.deadlines), events)
+	}
+	for i, deadline := range conn.deadlines {
+		if readAt := conn.readAt[i+1]; deadline.Before(readAt.Add(client.StreamIdleTimeout)) {
+			t.Errorf("event %d: the stream may be silent for %v only", i, deadline.Sub(readAt))
+		}
+	}
+}
+
 // TestOnlyEventsExtendStreamDeadline guards against clients that are left waiting by an engine whose stream goes on
 // without events: each byte extended the deadline.
 func TestOnlyEventsExtendStreamDeadline(t *testing.T) {
@@ -152,17 +200,9 @@
 			for range laterParts {
 				conn.parts = append(conn.parts, part)
 			}
-			client := newTestClient()
-			client.StreamIdleTimeout = time.Nanosecond // no deadline counts as set recently
-			pc := newPersistConn(conn)
-			resp, err := http1.ReadResponse(pc.br, client.Limits)
-			if err != nil {
-				t.Fatal(err)
-			}
-			stream := newStreamRelay(client, &Attempt{}, pc, resp, discardSink{})
-			stream.relay()
-			if conn.deadlines != events {
-				t.Errorf("%d read deadlines were set for %d events", conn.deadlines, events)
+			relayFrom(t, conn, newTestClient())
+			if len(conn.deadlines) != events {
+				t.Errorf("%d read deadlines were set for %d events", len(conn.deadlines), events)
 			}
 		})
 	}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -95,9 +95,9 @@
 	// StreamsOutlastShutdown means that the end of the time for a shutdown only answers requests without an answer:
 	// streams that have begun go on until they end, and Shutdown waits for them. Otherwise they are cut off then.
 	StreamsOutlastShutdown bool
-	BrokenStreams       BrokenStreamPolicy
-	Pipelining          PipeliningPolicy
-	RetryAfter          RetryAfterFormat
+	BrokenStreams          BrokenStreamPolicy
+	Pipelining             PipeliningPolicy
+	RetryAfter             RetryAfterFormat
 }
 
 // Bounds on the header of an engine's response.
