A keyed retry that hasn't arrived when its dedup window ends never does

What callers saw: a keyed request whose first connection was reset was sent again, within the window, to a writer that hung just then.

Cause: the end of the window bounded the write, which ends when the sender's kernel has taken the bytes; nobody looked whether they had arrived.

Change: an attempt with a window waits for the answer until the window ends; if the engine's system has not acknowledged all bytes by then (SIOCOUTQ), the connection is reset, which drops them. The result is TimedOut: it may have run, since the acknowledgment may be lost.

Why it holds: engines run complete requests only, and what is reset is never completed. If the kernel doesn't tell, the wait goes on as before.

--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -14,7 +14,7 @@
 	NewConn        bool          // never sent on an idle connection
 	ConnectTimeout time.Duration // for a new connection, in addition to Client.DialTimeout; 0 = none
 	Deadline       time.Time     // for the first token of a decode or the complete reply of a prefill; zero = none
-	SendBy         time.Time     // for writing the request's last byte; zero = Deadline only
+	SendBy         time.Time     // for the arrival of the request's last byte at the engine; zero = Deadline only
 	// Abandoned reports whether the client has left, so that the request need not be sent. It is called before
 	// the dial, the first byte and a withheld last byte; nil = the client is never considered gone.
 	Abandoned func() bool
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"os"
 
@@ -20,6 +21,8 @@
 	errStreamTooLarge   = errors.New("engine: stream too large")
 	errNoTransferParams = errors.New("engine: prefill reply without kv_transfer_params")
 	errStreamTruncated  = errors.New("engine: stream ended without its last event")
+
+	errNotArrived = fmt.Errorf("engine: the request has not arrived within the time to send it: %w", os.ErrDeadlineExceeded)
 )
 
 // sinkError wraps an error that Sink.Events returned: the client has disconnected or does not read the stream.
--- a/internal/engine/failure_test.go
+++ b/internal/engine/failure_test.go
@@ -32,6 +32,7 @@
 		"write timed out":    {timeout, connected, outcomeRow{9, false}, outcomeRow{7, false}},
 		"early response":     {errEarlyResponse, connected, outcomeRow{9, false}, outcomeRow{7, false}},
 		"read timed out":     {timeout, started, outcomeRow{3, false}, outcomeRow{6, false}},
+		"not arrived":        {errNotArrived, started, outcomeRow{3, false}, outcomeRow{6, false}},
 		"reset":              {syscall.ECONNRESET, started, outcomeRow{5, false}, outcomeRow{6, false}},
 		"closed":             {io.EOF, started, outcomeRow{5, false}, outcomeRow{6, false}},
 		"malformed response": {malformed, started, outcomeRow{1, true}, outcomeRow{6, false}},
--- a/internal/engine/helpers_test.go
+++ b/internal/engine/helpers_test.go
@@ -64,6 +64,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return servePeer(t, listener, serve)
+}
+
+// servePeer is like startPeer, on a listener that it closes when the test ends.
+func servePeer(t *testing.T, listener net.Listener, serve func(i int, conn *net.TCPConn)) *Endpoint {
+	t.Helper()
 	done := make(chan struct{})
 	t.Cleanup(func() {
 		_ = listener.Close()
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -58,7 +58,8 @@
 	{matches: func(f failure) bool { return !f.mayHaveRun && f.connected }, result: routing.RequestIncomplete},
 	// the dial was refused or timed out, or the engine is unreachable
 	{matches: func(f failure) bool { return !f.mayHaveRun }, result: routing.ConnectFailed},
-	// a time-out of the first token, of the complete reply, or between reads within a stream
+	// a time-out of the first token, of the complete reply, between reads within a stream, or of the request's arrival,
+	// whose acknowledgment may only be lost
 	{matches: isOneOf(os.ErrDeadlineExceeded), result: routing.TimedOut},
 	// A malformed response shows that the engine has run the request: a decode has fetched its read state, so that the
 	// state is no longer available.
--- a/internal/engine/roundtrip.go
+++ b/internal/engine/roundtrip.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brackenbend/internal/http1"
+	"brackenbend/internal/socket"
 	"brackenbend/routing"
 )
 
@@ -71,7 +72,7 @@
 		return nil, err
 	}
 	a.advance(func(p *Progress, elapsed time.Duration) { p.Written = elapsed })
-	resp, err := c.readResponseHeader(pc, call.Deadline)
+	resp, err := c.awaitResponse(pc, call)
 	if err != nil {
 		if pc.reused && pc.br.Buffered() == 0 && !a.Canceled() {
 			c.onReuseFailure(e, err)
@@ -83,6 +84,38 @@
 	return resp, nil
 }
 
+// awaitResponse reads the response header of a request that was written. If the request has not arrived by SendBy, it
+// resets the connection, so that it never does.
+func (c *Client) awaitResponse(pc *persistConn, call *Call) (*http1.Response, error) {
+	if call.SendBy.IsZero() || call.writeDeadline() != call.SendBy {
+		return c.readResponseHeader(pc, call.Deadline)
+	}
+	if err := pc.SetReadDeadline(call.SendBy); err != nil {
+		return nil, err
+	}
+	switch _, err := pc.br.Peek(1); {
+	case errors.Is(err, os.ErrDeadlineExceeded) && !requestArrived(pc):
+		return nil, errNotArrived
+	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, err
+	}
+	if err := pc.SetReadDeadline(call.Deadline); err != nil {
+		return nil, err
+	}
+	return c.readResponseHeader(pc, call.Deadline)
+}
+
+// requestArrived reports whether the engine's system has acknowledged the whole request, also where the kernel does not
+// tell. Otherwise it makes the close of the connection drop what has not arrived.
+func requestArrived(pc *persistConn) bool {
+	unacknowledged, err := socket.Unacknowledged(pc.Conn)
+	if err != nil || unacknowledged == 0 {
+		return true
+	}
+	_ = socket.ResetOnClose(pc.Conn) // fails only on a closed connection
+	return false
+}
+
 // prepareConn attaches the connection to the attempt and sets its deadlines.
 func prepareConn(a *Attempt, e *Endpoint, pc *persistConn, call *Call) error {
 	if !a.attachConn(pc.Conn) || !e.IsOpen() || call.mustNotSend() { // canceled or drained while the dial was pending
--- a/internal/engine/send_test.go
+++ b/internal/engine/send_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
@@ -290,3 +292,78 @@
 		}
 	}
 }
+
+// hungPeer is an engine that has stopped reading: what its system doesn't take stays in the buffers of the sender.
+type hungPeer struct {
+	*Endpoint
+	resume   chan struct{} // close it to let the engine read on
+	complete chan bool     // receives whether a complete request has arrived, for each connection
+}
+
+// hungPeerBuffer is the size of a hung peer's receive buffers. A body of hungPeerBody bytes exceeds it many times.
+const (
+	hungPeerBuffer = 4 << 10
+	hungPeerBody   = 256 << 10
+)
+
+func startHungPeer(t *testing.T) *hungPeer {
+	t.Helper()
+	peer := &hungPeer{resume: make(chan struct{}), complete: make(chan bool, 1)}
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		var optionErr error
+		err := conn.Control(func(fd uintptr) {
+			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, hungPeerBuffer)
+		})
+		return errors.Join(err, optionErr)
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	peer.Endpoint = servePeer(t, listener, func(_ int, conn *net.TCPConn) {
+		<-peer.resume
+		peer.complete <- readRequest(bufio.NewReader(conn))
+	})
+	return peer
+}
+
+// expectIncomplete lets the peer read on and checks that no complete request arrives.
+func (p *hungPeer) expectIncomplete(t *testing.T) {
+	t.Helper()
+	close(p.resume)
+	if <-p.complete {
+		t.Error("the engine has received the whole request after it was given up")
+	}
+}
+
+// TestRequestArrivesWithinSendWindow guards against keyed requests that run a second time after their dedup window: a
+// request that was written in time, but that a hung engine had not received, arrived when the engine ran again.
+func TestRequestArrivesWithinSendWindow(t *testing.T) {
+	peer := startHungPeer(t)
+	call := newCall(5 * time.Second)
+	call.Body = make([]byte, hungPeerBody)
+	call.SendBy = time.Now().Add(200 * time.Millisecond)
+	a := &Attempt{}
+	out := newLastByteClient().Decode(a, peer.Endpoint, call, &testSink{})
+	if out.Result != routing.TimedOut || call.deadlinePassed() {
+		t.Errorf("%+v, after the deadline: %t", out, call.deadlinePassed())
+	}
+	if a.Progress().Written == 0 {
+		t.Error("the kernel has not accepted the whole request, so that nothing was left to arrive later")
+	}
+	peer.expectIncomplete(t)
+}
+
+// TestResponseMayComeAfterSendWindow checks that a request that has arrived within its send window is waited for.
+func TestResponseMayComeAfterSendWindow(t *testing.T) {
+	call := newCallWithBody(time.Minute)
+	call.SendBy = time.Now().Add(50 * time.Millisecond)
+	endpoint := startPeer(t, func(_ int, conn *net.TCPConn) {
+		readRequest(bufio.NewReader(conn))
+		time.Sleep(2 * time.Until(call.SendBy))
+		respond(conn, prefillReply)
+	})
+	if out := newLastByteClient().Prefill(&Attempt{}, endpoint, call); out.Result != routing.PrefillDone {
+		t.Errorf("%+v", out)
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,11 +1,14 @@
-// Package socket queries the receive state of connections from the kernel, without consuming data and without blocking.
-// It keeps no state, and its functions are safe for concurrent use.
+// Package socket queries the state of connections from the kernel, without consuming data and without blocking, and sets
+// how a connection ends. It keeps no state, and its functions are safe for concurrent use.
 package socket
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // State is the receive state of a connection.
@@ -21,22 +24,55 @@
 // ReadState returns the receive state of nc. Another goroutine may be reading from nc. A connection that has no socket,
 // such as a net.Pipe, is Idle.
 func ReadState(nc net.Conn) State {
+	state := Closed
+	err := control(nc, func(fd int) { state = peek(fd) })
+	switch {
+	case errors.Is(err, errNoSocket):
+		return Idle
+	case err != nil:
+		return Closed
+	}
+	return state
+}
+
+// errNoSocket means that a connection is not one of the operating system.
+var errNoSocket = errors.New("socket: the connection has no socket")
+
+// control calls query with the file descriptor of nc. Unlike a raw read or write, it does not wait for pending ones.
+func control(nc net.Conn, query func(fd int)) error {
 	conn, ok := nc.(syscall.Conn)
 	if !ok {
-		return Idle
+		return errNoSocket
 	}
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return Closed
+		return err
 	}
-	state := Closed
-	err = raw.Control(func(fd uintptr) { // raw.Read would wait for a pending read
-		state = peek(int(fd))
-	})
-	if err != nil {
-		return Closed
+	return raw.Control(func(fd uintptr) { query(int(fd)) })
+}
+
+// Unacknowledged returns how many of the bytes that were written to nc the peer's system has not acknowledged. Those
+// that it has acknowledged have arrived; of the others nothing is known. It returns an error if nc is closed or has no
+// socket, or if the kernel does not tell.
+func Unacknowledged(nc net.Conn) (bytes int, err error) {
+	controlErr := control(nc, func(fd int) { bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	return bytes, cmp.Or(controlErr, err)
+}
+
+// ResetOnClose makes the end of nc a reset, also when the process is killed: bytes that the peer's system has not
+// acknowledged are dropped. Otherwise the kernel goes on delivering them after the close. It does nothing to a
+// connection that has no socket.
+func ResetOnClose(nc net.Conn) error { return setLinger(nc, 0) }
+
+// DeliverOnClose undoes ResetOnClose.
+func DeliverOnClose(nc net.Conn) error { return setLinger(nc, -1) }
+
+// setLinger sets for how many seconds the kernel tries to deliver bytes after a close; -1 is its default.
+func setLinger(nc net.Conn, seconds int) error {
+	if conn, ok := nc.(interface{ SetLinger(seconds int) error }); ok {
+		return conn.SetLinger(seconds)
 	}
-	return state
+	return nil
 }
 
 func peek(fd int) State {
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // awaitReadable waits until a read from nc would not block.
@@ -99,3 +102,63 @@
 	t.Helper()
 	check(t, peer.Close())
 }
+
+// TestUnacknowledged fills the buffers of a connection whose peer does not read, and lets it read then.
+func TestUnacknowledged(t *testing.T) {
+	local, peer := connect(t)
+	check(t, local.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	written, err := local.Write(make([]byte, 64<<20))
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	if n, err := Unacknowledged(local); err != nil || n <= 0 || n > written {
+		t.Errorf("%d of %d bytes are not acknowledged, error %v", n, written, err)
+	}
+	_, err = io.CopyN(io.Discard, peer, int64(written))
+	check(t, err)
+	for {
+		n, err := Unacknowledged(local)
+		check(t, err)
+		if n == 0 {
+			break
+		}
+	}
+	check(t, local.Close())
+	if _, err := Unacknowledged(local); err == nil {
+		t.Error("no error for a closed connection")
+	}
+	if _, err := Unacknowledged(noSocket{}); !errors.Is(err, errNoSocket) {
+		t.Errorf("without a socket: %v", err)
+	}
+}
+
+type noSocket struct{ net.Conn }
+
+// TestResetOnClose checks what a peer that has not read yet gets of 64 MiB that are being written as the connection ends.
+func TestResetOnClose(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare func(net.Conn) error
+		reset   bool
+	}{
+		"reset": {ResetOnClose, true},
+		"undone": {func(nc net.Conn) error {
+			return errors.Join(ResetOnClose(nc), DeliverOnClose(nc))
+		}, false},
+		"as usual": {func(net.Conn) error { return nil }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			local, peer := connect(t)
+			check(t, c.prepare(local))
+			check(t, local.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+			written, err := local.Write(make([]byte, 64<<20))
+			if !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatal(err)
+			}
+			check(t, local.Close())
+			read, err := io.Copy(io.Discard, peer)
+			if wasReset := errors.Is(err, syscall.ECONNRESET); wasReset != c.reset || (read < int64(written)) != c.reset {
+				t.Errorf("read %d of %d bytes: %v", read, written, err)
+			}
+		})
+	}
+}
