A request that is given up never reaches an engine later

Cause: attempts were given up by a plain close, after which the kernel goes on delivering what a hung engine has not taken; the last byte arrives as the engine runs again.

Evidence: one write, 1.2 s before the close, and 127,575 of 220,000 bytes at the writer as it ran again; a time-out leads to the same (TestGivenUpRequestDoesNotArrive).

Change: connections to engines are set to end with a reset as they come up (SO_LINGER 0), so that any end of one with an open request, also the death of the process, drops what has not arrived. Idle connections and those not kept after a whole response end as before, and so do releases, which do good if they arrive.

Why it holds: engines run complete requests only, and the last byte is among what is dropped.

The packages of gateway, node, engine, socket, scenariorun, fakes and cmd/brackenbend pass with the race detector.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -40,7 +40,8 @@
 	loadReport        []float64 // from a comment in the stream; nil = none
 }
 
-// Cancel aborts the attempt. Prefill or Decode still returns its outcome.
+// Cancel aborts the attempt. Prefill or Decode still returns its outcome. The connection is reset, so that a part of
+// the request that has not arrived yet never does.
 func (a *Attempt) Cancel() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -12,7 +12,8 @@
 const connReadBuffer = 4096
 
 // persistConn is a connection to an engine that may serve several requests. It is owned by one attempt at a time, or is
-// in the list of idle connections of its endpoint.
+// in the list of idle connections of its endpoint. It ends with a reset while a request is open on it, however it ends
+// (socket.ResetOnClose): a request that was given up must not arrive later. Releases are an exception.
 type persistConn struct {
 	net.Conn
 	br        *bufio.Reader
--- a/internal/engine/endpoint.go
+++ b/internal/engine/endpoint.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 
 	"brackenbend/internal/monotonic"
+	"brackenbend/internal/socket"
 	"brackenbend/routing"
 )
 
@@ -57,18 +58,25 @@
 		if !match(pc) {
 			return false
 		}
-		e.removeConn(pc)
+		e.removeIdleConn(pc)
 		return true
 	})
 }
 
-// removeConn closes a connection and uncounts it. The caller holds e.mu and removes the connection from the idle list
-// if it is there.
+// removeConn closes a connection and uncounts it. The close is a reset, except after DeliverOnClose. The caller holds
+// e.mu.
 func (e *Endpoint) removeConn(pc *persistConn) {
 	_ = pc.Close() // a failed close does no harm: the connection is not used again
 	e.uncountConn()
 }
 
+// removeIdleConn closes a connection on which no request is open, without a reset, and uncounts it. The caller holds
+// e.mu and removes the connection from the idle list if it is there.
+func (e *Endpoint) removeIdleConn(pc *persistConn) {
+	_ = socket.DeliverOnClose(pc.Conn) // if this fails, the engine sees a reset
+	e.removeConn(pc)
+}
+
 // countConn counts a connection that is about to be dialed; dialWithinLimit adds it to totalOpenConns. The caller holds
 // e.mu.
 func (e *Endpoint) countConn() { e.openConns++ }
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -22,7 +22,7 @@
 	errNoTransferParams = errors.New("engine: prefill reply without kv_transfer_params")
 	errStreamTruncated  = errors.New("engine: stream ended without its last event")
 
-	errNotArrived = fmt.Errorf("engine: the request has not arrived within the time to send it: %w", os.ErrDeadlineExceeded)
+	errNotArrived = fmt.Errorf("engine: the request has not arrived in the time to send it: %w", os.ErrDeadlineExceeded)
 )
 
 // sinkError wraps an error that Sink.Events returned: the client has disconnected or does not read the stream.
--- a/internal/engine/pool.go
+++ b/internal/engine/pool.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"brackenbend/internal/monotonic"
+	"brackenbend/internal/socket"
 )
 
 // poolState holds what a client tracks about the connections to all its endpoints.
@@ -59,7 +60,7 @@
 		if len(e.idleConns) == 0 {
 			return nil, errConnLimit
 		}
-		e.removeConn(e.idleConns[0]) // makes room for the new connection
+		e.removeIdleConn(e.idleConns[0]) // makes room for the new connection
 		e.idleConns = e.idleConns[1:]
 	}
 	e.countConn()
@@ -78,7 +79,7 @@
 		if pc.idleFor() < c.IdleTimeout && pc.peerIdle() {
 			return pc
 		}
-		e.removeConn(pc)
+		e.removeIdleConn(pc)
 	}
 	return nil
 }
@@ -100,11 +101,17 @@
 		return nil, errNotSent
 	}
 	dialer := net.Dialer{Timeout: c.DialTimeout, Deadline: deadline}
-	return dialer.DialContext(ctx, "tcp", e.Address)
+	nc, err := dialer.DialContext(ctx, "tcp", e.Address)
+	if err != nil {
+		return nil, err
+	}
+	_ = socket.ResetOnClose(nc) // fails only on a connection that has broken already
+	return nc, nil
 }
 
 // putConn returns a connection after use. It keeps the connection idle if it may be reused, and closes it otherwise.
-// reusable means that the last response was read to its end and allows reuse.
+// reusable means that the last response was read to its end and allows reuse. If it is not set, the request may not
+// have arrived yet, and the close is a reset, so that it never does.
 func (c *Client) putConn(e *Endpoint, pc *persistConn, reusable bool) {
 	if !c.keepIdle(e, pc, reusable) {
 		return
@@ -121,11 +128,14 @@
 func (c *Client) keepIdle(e *Endpoint, pc *persistConn, reusable bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	keep := reusable && e.IsOpen() && !c.reuseSuspended() && len(e.idleConns) < c.MaxIdlePerEndpoint && pc.prepareReuse()
-	if !keep {
+	if !reusable {
 		e.removeConn(pc)
 		return false
 	}
+	if !e.IsOpen() || c.reuseSuspended() || len(e.idleConns) >= c.MaxIdlePerEndpoint || !pc.prepareReuse() {
+		e.removeIdleConn(pc)
+		return false
+	}
 	pc.idleSince = time.Now()
 	e.idleConns = append(e.idleConns, pc)
 	return true
@@ -153,7 +163,7 @@
 	if len(oldest.idleConns) == 0 { // another goroutine has taken it
 		return false
 	}
-	oldest.removeConn(oldest.idleConns[0])
+	oldest.removeIdleConn(oldest.idleConns[0])
 	oldest.idleConns = oldest.idleConns[1:]
 	return true
 }
--- a/internal/engine/release.go
+++ b/internal/engine/release.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"brackenbend/internal/http1"
+	"brackenbend/internal/socket"
 )
 
 // maxReleaseAttempts is the maximum number of attempts to send one release. Releases are idempotent.
@@ -47,6 +48,7 @@
 	if err := pc.SetDeadline(deadline); err != nil {
 		return err
 	}
+	_ = socket.DeliverOnClose(pc.Conn) // a release that is given up does no harm if it arrives, but good
 	if _, err := pc.Write(message); err != nil {
 		return err
 	}
@@ -58,7 +60,7 @@
 	var body http1.Body
 	body.Reset(pc.br, &resp.Message, c.Limits)
 	_, err = http1.ReadAll(&body, c.MaxReplyBytes)
-	reusable = err == nil && body.AtEOF() && !resp.Close
+	reusable = err == nil && body.AtEOF() && !resp.Close && socket.ResetOnClose(pc.Conn) == nil
 	if !c.Protocol.ReleaseAccepted(resp.Status) {
 		return fmt.Errorf("engine: release failed with status %d", resp.Status)
 	}
--- a/internal/engine/roundtrip.go
+++ b/internal/engine/roundtrip.go
@@ -45,7 +45,7 @@
 	return pc, resp, nil
 }
 
-// failAttempt closes pc, unless it is nil, and returns the outcome of an attempt that failed with err.
+// failAttempt resets pc, unless it is nil, and returns the outcome of an attempt that failed with err.
 func (c *Client) failAttempt(a *Attempt, e *Endpoint, pc *persistConn, call *Call, err error) *Outcome {
 	out := a.failureOutcome(err)
 	if pc != nil {
@@ -84,8 +84,8 @@
 	return resp, nil
 }
 
-// awaitResponse reads the response header of a request that was written. If the request has not arrived by SendBy, it
-// resets the connection, so that it never does.
+// awaitResponse reads the response header of a request that was written. It fails if the request has not arrived by
+// SendBy; the caller then resets the connection, so that the request never arrives.
 func (c *Client) awaitResponse(pc *persistConn, call *Call) (*http1.Response, error) {
 	if call.SendBy.IsZero() || call.writeDeadline() != call.SendBy {
 		return c.readResponseHeader(pc, call.Deadline)
@@ -105,15 +105,11 @@
 	return c.readResponseHeader(pc, call.Deadline)
 }
 
-// requestArrived reports whether the engine's system has acknowledged the whole request, also where the kernel does not
-// tell. Otherwise it makes the close of the connection drop what has not arrived.
+// requestArrived reports whether the engine's system has acknowledged the whole request. It returns true also where the
+// kernel does not tell.
 func requestArrived(pc *persistConn) bool {
 	unacknowledged, err := socket.Unacknowledged(pc.Conn)
-	if err != nil || unacknowledged == 0 {
-		return true
-	}
-	_ = socket.ResetOnClose(pc.Conn) // fails only on a closed connection
-	return false
+	return err != nil || unacknowledged == 0
 }
 
 // prepareConn attaches the connection to the attempt and sets its deadlines.
--- a/internal/engine/send_test.go
+++ b/internal/engine/send_test.go
@@ -367,3 +367,73 @@
 		t.Errorf("%+v", out)
 	}
 }
+
+// TestGivenUpRequestDoesNotArrive guards against attempts that begin after their client has left or their deadline has
+// passed: the close of the connection let the kernel deliver what a hung engine had not received.
+func TestGivenUpRequestDoesNotArrive(t *testing.T) {
+	for name, c := range map[string]struct {
+		deadline time.Duration
+		cancel   bool
+		want     routing.Result
+	}{
+		"canceled":  {time.Minute, true, routing.Canceled},
+		"timed out": {200 * time.Millisecond, false, routing.TimedOut},
+	} {
+		t.Run(name, func(t *testing.T) {
+			peer := startHungPeer(t)
+			call := newCall(c.deadline)
+			call.Body = make([]byte, hungPeerBody)
+			a := &Attempt{}
+			if c.cancel {
+				go func() {
+					for a.Progress().Written == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					a.Cancel()
+				}()
+			}
+			if out := newLastByteClient().Decode(a, peer.Endpoint, call, &testSink{}); out.Result != c.want {
+				t.Errorf("%+v, want %v", out, c.want)
+			}
+			if a.Progress().Written == 0 {
+				t.Error("the kernel has not accepted the whole request, so that nothing was left to arrive later")
+			}
+			peer.expectIncomplete(t)
+		})
+	}
+}
+
+// TestIdleConnectionEndsWithoutReset checks that an engine sees the usual end of a connection that is no longer needed,
+// also after a release, and also if the connection is not kept.
+func TestIdleConnectionEndsWithoutReset(t *testing.T) {
+	for name, use := range map[string]func(c *Client, e *Endpoint) bool{
+		"after a prefill": func(c *Client, e *Endpoint) bool {
+			return c.Prefill(&Attempt{}, e, newCallWithBody(10*time.Second)).Result == routing.PrefillDone
+		},
+		"after a release": func(c *Client, e *Endpoint) bool {
+			return c.ReleaseState(&Attempt{}, e, "a", false, time.Now().Add(10*time.Second)) == nil
+		},
+		"not kept": func(c *Client, e *Endpoint) bool {
+			c.MaxIdlePerEndpoint = 0
+			return c.Prefill(&Attempt{}, e, newCallWithBody(10*time.Second)).Result == routing.PrefillDone
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			end := make(chan error, 1)
+			endpoint := startPeer(t, func(_ int, conn *net.TCPConn) {
+				br := bufio.NewReader(conn)
+				readRequest(br)
+				respond(conn, prefillReply)
+				_, err := br.ReadByte()
+				end <- err
+			})
+			if !use(newTestClient(), endpoint) {
+				t.Fatal("no success")
+			}
+			endpoint.Close()
+			if err := <-end; !errors.Is(err, io.EOF) {
+				t.Errorf("the engine sees %v", err)
+			}
+		})
+	}
+}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -134,7 +134,8 @@
 
 type noSocket struct{ net.Conn }
 
-// TestResetOnClose checks what a peer that has not read yet gets of 64 MiB that are being written as the connection ends.
+// TestResetOnClose checks what a peer that has not read yet gets of 64 MiB that are being written as the connection
+// ends.
 func TestResetOnClose(t *testing.T) {
 	for name, c := range map[string]struct {
 		prepare func(net.Conn) error
