A request that hasn't arrived is withdrawn where engines can't abort work, too

What callers saw: where engines can't stop work (cancel false), the router cancels nothing when a client leaves or has its answer from another attempt. A request that a hung engine had not received then arrived and was begun long after.

Letting work go on is right for a request that has arrived; one that has not is a send that is still to come.

Change: Attempt.CancelUnarrived cancels an attempt that isn't written or acknowledged whole. The event loop calls it for the pending attempts of a request that is answered or abandoned, and at the first token.

Measured: TestRequestDoesNotArriveAfterItsClientHasLeft failed before (262,297 bytes arrived) and passes, five times with the race detector; TestCancelUnarrived checks that what has arrived is left alone.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -45,12 +45,28 @@
 func (a *Attempt) Cancel() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cancellation.canceled = true
-	if a.cancellation.cancelDial != nil {
-		a.cancellation.cancelDial()
+	a.cancellation.cancel()
+}
+
+// CancelUnarrived cancels the attempt unless its request has arrived at the engine. A request whose answer nobody needs
+// any more must not arrive later, also where engines can't abort the work on one that has arrived.
+func (a *Attempt) CancelUnarrived() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	written, responded := a.progress.Written > 0, a.progress.ResponseStarted > 0
+	if !responded && !(written && requestArrived(a.cancellation.conn)) {
+		a.cancellation.cancel()
+	}
+}
+
+// cancel aborts the dial or closes the connection. The caller holds Attempt.mu.
+func (c *cancellation) cancel() {
+	c.canceled = true
+	if c.cancelDial != nil {
+		c.cancelDial()
 	}
-	if a.cancellation.conn != nil {
-		_ = a.cancellation.conn.Close() // wakes the attempt's goroutine, whose I/O on it fails
+	if c.conn != nil {
+		_ = c.conn.Close() // wakes the attempt's goroutine, whose I/O on it fails
 	}
 }
 
--- a/internal/engine/roundtrip.go
+++ b/internal/engine/roundtrip.go
@@ -94,7 +94,7 @@
 		return nil, err
 	}
 	switch _, err := pc.br.Peek(1); {
-	case errors.Is(err, os.ErrDeadlineExceeded) && !requestArrived(pc):
+	case errors.Is(err, os.ErrDeadlineExceeded) && !requestArrived(pc.Conn):
 		return nil, errNotArrived
 	case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 		return nil, err
@@ -105,10 +105,10 @@
 	return c.readResponseHeader(pc, call.Deadline)
 }
 
-// requestArrived reports whether the engine's system has acknowledged the whole request. It returns true also where the
-// kernel does not tell.
-func requestArrived(pc *persistConn) bool {
-	unacknowledged, err := socket.Unacknowledged(pc.Conn)
+// requestArrived reports whether the engine's system has acknowledged all of the request that was written to nc. It
+// returns true also where the kernel does not tell.
+func requestArrived(nc net.Conn) bool {
+	unacknowledged, err := socket.Unacknowledged(nc)
 	return err != nil || unacknowledged == 0
 }
 
--- a/internal/engine/send_test.go
+++ b/internal/engine/send_test.go
@@ -403,6 +403,59 @@
 	}
 }
 
+// TestCancelUnarrived guards against requests that arrive after their answer is no longer needed, and against ones that
+// are aborted though they have arrived.
+func TestCancelUnarrived(t *testing.T) {
+	cancelWhenWritten := func(a *Attempt, ready func() bool) {
+		for a.Progress().Written == 0 || !ready() {
+			time.Sleep(time.Millisecond)
+		}
+		a.CancelUnarrived()
+	}
+	t.Run("not arrived", func(t *testing.T) {
+		peer, a := startHungPeer(t), &Attempt{}
+		call := newCall(time.Minute)
+		call.Body = make([]byte, hungPeerBody)
+		go cancelWhenWritten(a, func() bool { return true })
+		if out := newLastByteClient().Prefill(a, peer.Endpoint, call); out.Result != routing.Canceled {
+			t.Errorf("%+v", out)
+		}
+		peer.expectIncomplete(t)
+	})
+	t.Run("arrived", func(t *testing.T) {
+		a, canceled := &Attempt{}, make(chan struct{})
+		endpoint := startPeer(t, func(_ int, conn *net.TCPConn) {
+			readRequest(bufio.NewReader(conn))
+			<-canceled
+			respond(conn, prefillReply)
+		})
+		go func() {
+			cancelWhenWritten(a, func() bool {
+				a.mu.Lock()
+				defer a.mu.Unlock()
+				return requestArrived(a.cancellation.conn)
+			})
+			close(canceled)
+		}()
+		out := newLastByteClient().Prefill(a, endpoint, newCallWithBody(10*time.Second))
+		if out.Result != routing.PrefillDone {
+			t.Errorf("%+v", out)
+		}
+		a.CancelUnarrived()
+		if a.Canceled() {
+			t.Error("an attempt that has its response was canceled")
+		}
+	})
+	t.Run("not begun", func(t *testing.T) {
+		a := &Attempt{}
+		a.CancelUnarrived()
+		out := newLastByteClient().Prefill(a, &Endpoint{Address: unusedAddress(t)}, newCallWithBody(time.Second))
+		if out.Result != routing.NotSent {
+			t.Errorf("%+v", out)
+		}
+	})
+}
+
 // TestIdleConnectionEndsWithoutReset checks that an engine sees the usual end of a connection that is no longer needed,
 // also after a release, and also if the connection is not kept.
 func TestIdleConnectionEndsWithoutReset(t *testing.T) {
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -123,6 +123,17 @@
 	}
 }
 
+// cancelUnarrived cancels the attempts whose request has not arrived at the engine. It is called when the client has
+// left or has an answer: nothing more may be sent for the request then, though the router lets attempts go on where
+// engines can't abort them.
+func (r *inflightRequest) cancelUnarrived() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, a := range r.attempts {
+		a.handle.CancelUnarrived()
+	}
+}
+
 // respond sets the final response, unless the request has an answer already. It returns whether it set the response.
 func (r *inflightRequest) respond(response Response) bool {
 	return r.respondFrom(answerPending, response)
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -211,6 +211,7 @@
 		if request := l.requests[event.Request]; request != nil {
 			l.endState(request, stateFetched)
 			request.release.requested = false // engines drop the state when the stream begins
+			request.cancelUnarrived()
 		}
 	case routing.Outcome:
 		if request := l.completionCandidate(event.Request); request != nil {
@@ -269,13 +270,19 @@
 }
 
 // finishCompleted removes the requests that are answered and have no pending attempt, and releases their read states.
-// For a request without a pending attempt that is not answered yet, it releases a state that no reply confirmed.
+// For a request without a pending attempt that is not answered yet, it releases a state that no reply confirmed. For one
+// that is answered it cancels the pending attempts that have not arrived.
 func (l *eventLoop) finishCompleted() {
 	for _, request := range l.completionCandidates {
-		if request.pendingAttempts > 0 || l.requests[request.id] != request {
+		switch {
+		case l.requests[request.id] != request:
 			continue
-		}
-		if !request.answered() {
+		case request.pendingAttempts > 0:
+			if request.answered() {
+				request.cancelUnarrived()
+			}
+			continue
+		case !request.answered():
 			l.releaseUnconfirmed(request)
 			continue
 		}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -1,5 +1,5 @@
-// Package socket queries the state of connections from the kernel, without consuming data and without blocking, and sets
-// how a connection ends. It keeps no state, and its functions are safe for concurrent use.
+// Package socket queries the state of connections from the kernel, without consuming data and without blocking, and
+// sets how a connection ends. It keeps no state, and its functions are safe for concurrent use.
 package socket
 
 import (
