--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -53,10 +53,10 @@
 func (a *Attempt) CancelUnarrived() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	written, responded := a.progress.Written > 0, a.progress.ResponseStarted > 0
-	if !responded && !(written && requestArrived(a.cancellation.conn)) {
-		a.cancellation.cancel()
+	if a.progress.ResponseStarted > 0 || a.progress.Written > 0 && requestArrived(a.cancellation.conn) {
+		return
 	}
+	a.cancellation.cancel()
 }
 
 // cancel aborts the dial or closes the connection. The caller holds Attempt.mu.
--- a/internal/gateway/loop.go
+++ b/internal/gateway/loop.go
@@ -270,8 +270,8 @@
 }
 
 // finishCompleted removes the requests that are answered and have no pending attempt, and releases their read states.
-// For a request without a pending attempt that is not answered yet, it releases a state that no reply confirmed. For one
-// that is answered it cancels the pending attempts that have not arrived.
+// For a request without a pending attempt that is not answered yet, it releases a state that no reply confirmed. For
+// one that is answered it cancels the pending attempts that have not arrived.
 func (l *eventLoop) finishCompleted() {
 	for _, request := range l.completionCandidates {
 		switch {
--- a/internal/gateway/unarrived_test.go
+++ b/internal/gateway/unarrived_test.go
@@ -37,8 +37,8 @@
 	return l
 }
 
-// TestRequestDoesNotArriveAfterItsClientHasLeft guards against decodes that a hung engine begins long after their client
-// has left, where engines can't abort work: the router cancels nothing there, and the request had not arrived yet.
+// TestRequestDoesNotArriveAfterItsClientHasLeft guards against decodes that a hung engine begins long after their
+// client has left, where engines can't abort work: the router cancels nothing there, and the request had not arrived.
 func TestRequestDoesNotArriveAfterItsClientHasLeft(t *testing.T) {
 	Hooks.Settings = func(c *routing.Config) { c.CanCancel = false }
 	t.Cleanup(func() { Hooks = TestHooks{} })
