--- a/routing/stats.go
+++ b/routing/stats.go
@@ -65,8 +65,8 @@
 
 // minServiceTime is a lower bound of the time until a queued request of a class gets its first token.
 func (l *latencyStats) minServiceTime(class int) time.Duration {
-	return seconds(
-		float64(l.uncachedTokens[class]*l.prefillPace/minServiceDivisor) + float64(l.firstToken/minServiceDivisor))
+	prefill := float64(l.uncachedTokens[class] * l.prefillPace / minServiceDivisor)
+	return seconds(prefill + float64(l.firstToken/minServiceDivisor))
 }
 
 // usualFirstToken is the usual time to the first token, in seconds, if the given number of tokens has to be
