A new connection can be evicted before its goroutine has run

What callers saw: at the connection limit a client with a request was turned away unread, with a reset, though all other connections were idle.

Cause: only a connection that was marked idle can be evicted, and its own goroutine marked it. When many are accepted in a row on a busy machine, none of these goroutines may have run.

Change: a connection is idle from its creation; the mark is a compare-and-swap, so that it can't undo an eviction.

Measured: TestNewConnectionsCanBeEvictedAtOnce, which accepts connections while no other goroutine can run, failed 10 of 10 times before and passes 10 of 10; the package passes with the race detector.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -50,10 +50,13 @@
 // pastDeadline is a read deadline that makes pending and later reads fail at once.
 var pastDeadline = time.Unix(1, 0)
 
+// newClientConn returns a connection that is idle from the start, so that it can be evicted before its goroutine runs.
 func newClientConn(g *Gateway, conn net.Conn) *clientConn {
-	return &clientConn{
+	c := &clientConn{
 		gateway: g, conn: conn, acceptedAt: time.Now(), reader: bufio.NewReaderSize(conn, clientReadBufferSize),
 	}
+	c.markIdle()
+	return c
 }
 
 // serve handles the requests on the connection one after another and then closes it. Apart from serve, only
@@ -90,8 +93,8 @@
 // request that arrived at that moment must not be started, since the client sends it again on another connection.
 func (c *clientConn) clearIdle() bool { return c.idleSince.Swap(0) != idleEvicted }
 
-// markIdle records that the connection waits for the first byte of a request.
-func (c *clientConn) markIdle() { c.idleSince.Store(monotonic.Now()) }
+// markIdle records that the connection waits for the first byte of a request, unless it is idle or evicted already.
+func (c *clientConn) markIdle() { c.idleSince.CompareAndSwap(0, monotonic.Now()) }
 
 // closeIfIdleSince evicts the connection if it has been idle since the given time. It returns false if the connection
 // is no longer idle.
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -138,6 +138,38 @@
 	}
 }
 
+// TestNewConnectionsCanBeEvictedAtOnce guards against clients that are turned away at the connection limit though all
+// others are idle: a connection could be evicted only when its goroutine had run, which may be late on a busy machine.
+func TestNewConnectionsCanBeEvictedAtOnce(t *testing.T) {
+	tg := newTestGateway(t, "", "reader", "writer")
+	tg.gateway.Limits.MaxConnections, tg.gateway.MinIdleTime = 2, time.Minute
+	l := listen(t)
+	defer closeQuietly(l)
+	var clients, accepted []net.Conn
+	for range tg.gateway.Limits.MaxConnections + 1 {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer closeQuietly(client)
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		clients, accepted = append(clients, client), append(accepted, conn)
+	}
+	processors := runtime.GOMAXPROCS(1) // no goroutine of a connection runs before all are accepted
+	for _, conn := range accepted {
+		tg.gateway.accept(conn)
+	}
+	runtime.GOMAXPROCS(processors)
+	last := clients[len(clients)-1]
+	send(t, last, chatRequest(chatBody(true, 3), "Connection: close\r\n"))
+	if got, err := readAll(last); err != nil || !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("%v: %q", err, got)
+	}
+}
+
 // writeDeadlineConn records the write deadlines of the gateway's end of a connection. A write ends only when the clock
 // has moved on.
 type writeDeadlineConn struct {
