--- a/internal/engine/release.go
+++ b/internal/engine/release.go
@@ -60,7 +60,8 @@
 	var body http1.Body
 	body.Reset(pc.br, &resp.Message, c.Limits)
 	_, err = http1.ReadAll(&body, c.MaxReplyBytes)
-	reusable = err == nil && body.AtEOF() && !resp.Close && socket.ResetOnClose(pc.Conn) == nil
+	reusable = err == nil && body.AtEOF() && !resp.Close
+	_ = socket.ResetOnClose(pc.Conn) // for its next request
 	if !c.Protocol.ReleaseAccepted(resp.Status) {
 		return fmt.Errorf("engine: release failed with status %d", resp.Status)
 	}
