An answer that is still being collected gets an error at the end of a drain

What callers saw: a client that doesn't stream was closed without any response when the time for a shutdown of `brackenbend serve` was over before its answer was whole.

Cause: the same as for the node's streams: the end of the drain closes all connections whose answer an attempt owns. A client of a collected answer has nothing of it yet.

Change: clientConn.abort replaces such an answer by an error response and cancels the attempt, as a passed answer deadline does.

Measured: TestCollectedAnswerAtTheEndOfADrain failed before (an empty response) and passes.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brackenbend/internal/monotonic"
+	"brackenbend/routing"
 )
 
 // clientConn is a connection from a client. Its goroutine reads requests and writes every response that is not a
@@ -122,15 +123,21 @@
 
 // abort ends the connection when the time for a shutdown is over and the router has answered all requests. From now on
 // all reads of the connection's goroutine fail: a request that was read completely is rejected by the router, a partial
-// one gets an error response, and an idle connection is closed. If an attempt owns the answer, the connection is closed
-// at once.
+// one gets an error response, and an idle connection is closed. If an attempt owns the answer, a stream's connection is
+// closed at once, and an answer that is being collected, of which the client has nothing yet, is replaced by an error.
 func (c *clientConn) abort() {
 	c.readDeadlineMu.Lock()
 	c.aborted = true
 	c.interruptRead()
 	c.readDeadlineMu.Unlock()
-	if request := c.currentRequest.Load(); request != nil && request.state.Load() == answerStreaming {
+	request := c.currentRequest.Load()
+	switch {
+	case request == nil || request.state.Load() != answerStreaming:
+	case request.collector == nil:
 		_ = c.conn.Close() // the attempt's next write fails
+	case request.respondFrom(answerStreaming, failureResponse(request, routing.ReasonShutdown.String())):
+		c.postDisconnected(request)
+		request.cancelAttempts()
 	}
 }
 
--- a/internal/gateway/shutdown_test.go
+++ b/internal/gateway/shutdown_test.go
@@ -120,6 +120,33 @@
 	}
 }
 
+// TestCollectedAnswerAtTheEndOfADrain guards against clients that don't stream and get no response at all: the end of
+// the drain closed the connection on which their answer was still being collected.
+func TestCollectedAnswerAtTheEndOfADrain(t *testing.T) {
+	tg, stub := newTestGatewayWithStub(t, "")
+	collected, ended := make(chan struct{}), make(chan struct{})
+	stub.setDecodeReply(func(c net.Conn) {
+		writeText(streamHead + chunk(event1))(c)
+		close(collected)
+		<-ended
+	})
+	defer close(ended)
+	conn := tg.dial(chatRequest(chatBody(false, 2), ""))
+	<-collected
+	var request *inflightRequest
+	tg.gateway.mu.Lock()
+	for c := range tg.gateway.conns {
+		request = c.currentRequest.Load()
+	}
+	tg.gateway.mu.Unlock()
+	tg.eventually("the answer is being collected", func() bool { return request.state.Load() == answerStreaming })
+	tg.startDrain()
+	tg.gateway.endDrain()
+	if got, err := readAll(conn); err != nil || !strings.HasPrefix(got, "HTTP/1.1 5") {
+		t.Errorf("%v: %q", err, got)
+	}
+}
+
 // failingListener fails one Accept after fail is set, as a listener does when file descriptors run out.
 type failingListener struct {
 	*net.TCPListener
