The drain's interrupt of idle connections can't end the wait during the drain

What callers saw: a request on an idle connection at the start of a drain got no answer, its connection was closed.

Cause: interruptIdleRead asks whether a connection is idle and then sets a past deadline. In between, its goroutine can have ended the idle wait and set the deadline of the wait during the drain, which the past one then overwrote. Since connections are idle from their creation, the window was wider.

Change: the question and the deadline are one step under readDeadlineMu, which the goroutine takes for its deadlines, after it has cleared the idle mark.

Measured: TestDrainDoesNotInterruptTheWaitDuringIt forces the crossing; it failed before (deadline 1970) and passes. TestShutdownAnswersOpenRequests passes 160 of 160 with the race detector, sixteen at a time; so did the old code that time.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -115,7 +115,11 @@
 // answer, or zero, which means none, if that is unknown. As in interruptRead, this fails only where the read fails too.
 func (c *clientConn) extendReadDeadline(deadline time.Time) { _ = c.setReadDeadline(deadline) }
 
+// interruptIdleRead ends the wait for a request, but not a later wait: the connection is not idle any more when its
+// goroutine sets the deadline of that one.
 func (c *clientConn) interruptIdleRead() {
+	c.readDeadlineMu.Lock()
+	defer c.readDeadlineMu.Unlock()
 	if c.idleSince.Load() > 0 {
 		c.interruptRead()
 	}
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -170,6 +170,49 @@
 	}
 }
 
+// interruptedConn lets the goroutine of a connection go on while an interrupt sets a read deadline, and records the
+// deadline that was set last.
+type interruptedConn struct {
+	net.Conn
+	duringInterrupt func()
+	lastDeadline    time.Time
+}
+
+func (c *interruptedConn) SetReadDeadline(deadline time.Time) error {
+	if deadline.Equal(pastDeadline) {
+		c.duringInterrupt()
+	}
+	c.lastDeadline = deadline
+	return nil
+}
+
+// TestDrainDoesNotInterruptTheWaitDuringIt guards against requests on idle connections that get no answer at the start
+// of a drain: the interrupt of the idle wait came after the deadline of the wait during the drain was set.
+func TestDrainDoesNotInterruptTheWaitDuringIt(t *testing.T) {
+	tg := newTestGateway(t, "")
+	recorder := &interruptedConn{}
+	conn := newClientConn(tg.gateway, recorder)
+	graceEnd, waiting := time.Now().Add(time.Hour), make(chan struct{})
+	recorder.duringInterrupt = func() {
+		conn.clearIdle()
+		go func() {
+			defer close(waiting)
+			if err := conn.setReadDeadline(graceEnd); err != nil {
+				t.Error(err)
+			}
+		}()
+		select {
+		case <-waiting:
+		case <-time.After(50 * time.Millisecond): // it has to wait for the interrupt
+		}
+	}
+	conn.interruptIdleRead()
+	<-waiting
+	if !recorder.lastDeadline.Equal(graceEnd) {
+		t.Errorf("the wait during the drain ends at %v, want %v", recorder.lastDeadline, graceEnd)
+	}
+}
+
 // writeDeadlineConn records the write deadlines of the gateway's end of a connection. A write ends only when the clock
 // has moved on.
 type writeDeadlineConn struct {
