The tests of hung engines share their listener

The tests of the engine client and of the gateway each had the listener whose connections take little while the engine doesn't read; it stands in internal/fake/loopback now.

--- a/internal/engine/send_test.go
+++ b/internal/engine/send_test.go
@@ -7,10 +7,10 @@
 	"io"
 	"net"
 	"net/http"
-	"syscall"
 	"testing"
 	"time"
 
+	"brackenbend/internal/fake/loopback"
 	"brackenbend/routing"
 )
 
@@ -300,23 +300,10 @@
 	complete chan bool     // receives whether a complete request has arrived, for each connection
 }
 
-// hungPeerBuffer is the size of a hung peer's receive buffers. A body of hungPeerBody bytes exceeds it many times.
-const (
-	hungPeerBuffer = 4 << 10
-	hungPeerBody   = 256 << 10
-)
-
 func startHungPeer(t *testing.T) *hungPeer {
 	t.Helper()
 	peer := &hungPeer{resume: make(chan struct{}), complete: make(chan bool, 1)}
-	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
-		var optionErr error
-		err := conn.Control(func(fd uintptr) {
-			optionErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, hungPeerBuffer)
-		})
-		return errors.Join(err, optionErr)
-	}}
-	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	listener, err := loopback.ListenHung(t.Context())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -341,7 +328,7 @@
 func TestRequestArrivesWithinSendWindow(t *testing.T) {
 	peer := startHungPeer(t)
 	call := newCall(5 * time.Second)
-	call.Body = make([]byte, hungPeerBody)
+	call.Body = make([]byte, loopback.LongRequest)
 	call.SendBy = time.Now().Add(200 * time.Millisecond)
 	a := &Attempt{}
 	out := newLastByteClient().Decode(a, peer.Endpoint, call, &testSink{})
@@ -382,7 +369,7 @@
 		t.Run(name, func(t *testing.T) {
 			peer := startHungPeer(t)
 			call := newCall(c.deadline)
-			call.Body = make([]byte, hungPeerBody)
+			call.Body = make([]byte, loopback.LongRequest)
 			a := &Attempt{}
 			if c.cancel {
 				go func() {
@@ -415,7 +402,7 @@
 	t.Run("not arrived", func(t *testing.T) {
 		peer, a := startHungPeer(t), &Attempt{}
 		call := newCall(time.Minute)
-		call.Body = make([]byte, hungPeerBody)
+		call.Body = make([]byte, loopback.LongRequest)
 		go cancelWhenWritten(a, func() bool { return true })
 		if out := newLastByteClient().Prefill(a, peer.Endpoint, call); out.Result != routing.Canceled {
 			t.Errorf("%+v", out)
--- a/internal/fake/loopback/loopback.go
+++ b/internal/fake/loopback/loopback.go
@@ -1,4 +1,5 @@
-// Package loopback picks loopback addresses for processes that restart under the same address.
+// Package loopback picks loopback addresses for processes that restart under the same address, and listens for engines
+// that hang.
 //
 // A mutex guards its state, the ports that it has returned. The package starts no goroutines.
 package loopback
