--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -25,7 +25,7 @@
 // such as a net.Pipe, is Idle.
 func ReadState(nc net.Conn) State {
 	state := Closed
-	err := control(nc, func(fd int) { state = peek(fd) })
+	err := control(nc, func(fd uintptr) { state = peek(int(fd)) })
 	switch {
 	case errors.Is(err, errNoSocket):
 		return Idle
@@ -39,7 +39,7 @@
 var errNoSocket = errors.New("socket: the connection has no socket")
 
 // control calls query with the file descriptor of nc. Unlike a raw read or write, it does not wait for pending ones.
-func control(nc net.Conn, query func(fd int)) error {
+func control(nc net.Conn, query func(fd uintptr)) error {
 	conn, ok := nc.(syscall.Conn)
 	if !ok {
 		return errNoSocket
@@ -48,14 +48,14 @@
 	if err != nil {
 		return err
 	}
-	return raw.Control(func(fd uintptr) { query(int(fd)) })
+	return raw.Control(query)
 }
 
 // Unacknowledged returns how many of the bytes that were written to nc the peer's system has not acknowledged. Those
 // that it has acknowledged have arrived; of the others nothing is known. It returns an error if nc is closed or has no
 // socket, or if the kernel does not tell.
 func Unacknowledged(nc net.Conn) (bytes int, err error) {
-	controlErr := control(nc, func(fd int) { bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	controlErr := control(nc, func(fd uintptr) { bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
 	return bytes, cmp.Or(controlErr, err)
 }
 
