Logs tell how far a stream got, and why requests and connections were turned away

What was missing: after pre-production runs in which clients waited behind streams that did not end, the logs could not tell which stream went on by what. The line of an answer had no time of its last event, the line of a failed attempt no count of bytes, and closes of connections and rejections before the router were only counted.

Change: the relay keeps the bytes read and the time of the last event; both lines have them, the answer's also the client's address, which ties requests to connections. No behaviour beside that.

--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -35,7 +35,9 @@
 type streamState struct {
 	begun             bool // the first token arrived and Sink.Begin accepted the stream
 	lastEventReceived bool
-	events            int // events with data, without the last one (sse.Done); used as the token count
+	events            int       // events with data, without the last one (sse.Done); used as the token count
+	bytes             int64     // bytes of the body that were read
+	lastEventAt       time.Time // when the last event with data was read; zero = none yet
 	cachedTokens      float64
 	loadReport        []float64 // from a comment in the stream; nil = none
 }
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -17,6 +17,7 @@
 	LoadReport       []float64
 	KVTransferParams json.RawMessage // from a prefill's reply, for the decode that fetches the read state
 	Events           int             // events with data in a stream, without the last one; used as the token count
+	Stream           StreamProgress  // how far a stream got
 	Reply            *Reply          // the error response to an invalid request, to be passed to the client; else nil
 	Err              error           // for logs
 }
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -50,3 +50,27 @@
 	defer a.mu.Unlock()
 	step(&a.progress, max(time.Since(a.startedAt), 1)) // 0 would mean that the step was not reached
 }
+
+// StreamProgress is how far a stream had got when it ended, for logs.
+type StreamProgress struct {
+	Events         int           // events with data, without the last one
+	Bytes          int64         // bytes of the body that were read
+	SinceLastEvent time.Duration // from the last event with data to the end of the stream; 0 = there was none
+}
+
+// progress returns how far the stream has got.
+func (s *streamState) progress() StreamProgress {
+	p := StreamProgress{Events: s.events, Bytes: s.bytes}
+	if !s.lastEventAt.IsZero() {
+		p.SinceLastEvent = time.Since(s.lastEventAt)
+	}
+	return p
+}
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (p StreamProgress) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddInt("events", p.Events)
+	enc.AddInt64("bytes", p.Bytes)
+	enc.AddDuration("since_last_event", p.SinceLastEvent)
+	return nil
+}
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -37,7 +37,6 @@
 	pooledBuffer  *[]byte // the buffer taken from relayBuffers; nil = none
 	buf           []byte  // *pooledBuffer, or a larger buffer after growBuffer
 	filled        int     // bytes in buf that were read and not yet passed on
-	bytesRead     int64   // bytes read
 	eventReceived bool    // an event has arrived since extendDeadline was called last
 }
 
@@ -74,7 +73,7 @@
 			}
 		}
 		readErr := r.read()
-		if limit := r.client.MaxStreamBytes; limit > 0 && r.bytesRead > limit {
+		if limit := r.client.MaxStreamBytes; limit > 0 && r.attempt.stream.bytes > limit {
 			return fmt.Errorf("%w: over %d bytes", errStreamTooLarge, limit)
 		}
 		done, err := r.forward(readErr)
@@ -123,15 +122,20 @@
 
 // read reads all data that has arrived and fits the buffer, so that its events are passed on in one write.
 func (r *streamRelay) read() error {
-	n, err := r.body.Read(r.buf[r.filled:])
-	r.filled, r.bytesRead = r.filled+n, r.bytesRead+int64(n)
+	err := r.readOnce()
 	for err == nil && r.filled < len(r.buf) && r.body.Buffered() {
-		n, err = r.body.Read(r.buf[r.filled:])
-		r.filled, r.bytesRead = r.filled+n, r.bytesRead+int64(n)
+		err = r.readOnce()
 	}
 	return err
 }
 
+func (r *streamRelay) readOnce() error {
+	n, err := r.body.Read(r.buf[r.filled:])
+	r.filled += n
+	r.attempt.stream.bytes += int64(n)
+	return err
+}
+
 // forward passes the complete events in the buffer to the sink. It returns done at the end of the stream.
 func (r *streamRelay) forward(readErr error) (done bool, err error) {
 	start, end, done, err := r.scan()
@@ -196,6 +200,7 @@
 		stream.begun = true
 	}
 	r.eventReceived = true
+	stream.lastEventAt = time.Now()
 	if string(data) == sse.Done {
 		stream.lastEventReceived = true
 		return nil
--- a/internal/gateway/accesslog.go
+++ b/internal/gateway/accesslog.go
@@ -79,6 +79,8 @@
 		zap.Int("prefix_tokens", int(math.Round(r.routing.PrefixTokens))),
 		zap.Int("max_out", int(r.routing.MaxOutputTokens)),
 		zap.Int64("events", r.eventCount.Load()),
+		zap.Duration("since_last_event", time.Duration(r.sinceLastEvent.Load())),
+		zap.String("client", r.conn.remoteAddress()),
 		zap.Bool("stream", r.collector == nil),
 	)
 }
@@ -122,6 +124,10 @@
 	if entry == nil {
 		return
 	}
+	stream := zap.Skip()
+	if outcome.Stream.Bytes > 0 {
+		stream = zap.Object("stream", outcome.Stream)
+	}
 	entry.Write(
 		zap.String("id", a.request.displayID()),
 		zap.Int("attempt", a.index),
@@ -131,10 +137,42 @@
 		zap.Bool("no_state", outcome.StateMissing),
 		zap.Duration("took", elapsed),
 		zap.Object("progress", a.handle.Progress()),
+		stream,
 		zap.Error(outcome.Err),
 	)
 }
 
+// recordEarlyRejection counts and logs a request that is rejected before the router knows it.
+func (c *clientConn) recordEarlyRejection(reason, detail string) {
+	c.gateway.metrics.EarlyRejections.WithLabelValues(reason).Inc()
+	entry := c.gateway.log.Check(zap.InfoLevel, "request turned away")
+	if entry == nil {
+		return
+	}
+	entry.Write(zap.String("reason", reason), zap.String("detail", detail), zap.String("client", c.remoteAddress()))
+}
+
+// recordClose counts the end of the connection, and logs it unless the reason is an ordinary one.
+func (c *clientConn) recordClose() {
+	c.gateway.metrics.ClosedConnections.WithLabelValues(c.closeReason).Inc()
+	switch c.closeReason {
+	case closeReasonAnswered, closeReasonClient, closeReasonIdle:
+		return
+	}
+	entry := c.gateway.log.Check(zap.InfoLevel, "connection closed")
+	if entry == nil {
+		return
+	}
+	entry.Write(
+		zap.String("reason", c.closeReason),
+		zap.String("client", c.remoteAddress()),
+		zap.Duration("open_for", time.Since(c.acceptedAt)),
+	)
+}
+
+// remoteAddress is the address of the client, which identifies its connection in logs.
+func (c *clientConn) remoteAddress() string { return c.conn.RemoteAddr().String() }
+
 // formatPrefixHash formats the hash of a prompt prefix for logs. It returns "" for a request without a prefix.
 func formatPrefixHash(prefix uint64) string {
 	if prefix == 0 {
--- a/internal/gateway/conn_read.go
+++ b/internal/gateway/conn_read.go
@@ -112,7 +112,7 @@
 	default:
 		return
 	}
-	c.gateway.metrics.EarlyRejections.WithLabelValues("malformed").Inc()
+	c.recordEarlyRejection("malformed", malformed.Reason)
 	response := errorResponse(&api.Error{
 		Status: malformed.Status, Type: api.TypeInvalidRequest, Code: codeMalformed, Message: malformed.Reason,
 	})
--- a/internal/gateway/conn_request.go
+++ b/internal/gateway/conn_request.go
@@ -33,13 +33,13 @@
 
 // reject responds to an invalid request with an error and counts it under reason.
 func (c *clientConn) reject(req *http1.Request, body *http1.Body, reason string, apiErr *api.Error) bool {
-	c.gateway.metrics.EarlyRejections.WithLabelValues(reason).Inc()
+	c.recordEarlyRejection(reason, apiErr.Message)
 	return c.respond(req, body, errorResponse(apiErr))
 }
 
 // shed rejects a request that the gateway can't take, such as one that exceeds a limit.
 func (c *clientConn) shed(req *http1.Request, body *http1.Body, reason, message string) bool {
-	c.gateway.metrics.EarlyRejections.WithLabelValues(reason).Inc()
+	c.recordEarlyRejection(reason, message)
 	return c.respond(req, body, shedResponse(message))
 }
 
@@ -131,7 +131,7 @@
 		return c.reject(req, body, "invalid", apiErr)
 	}
 	if g.Pipelining == RejectPipelining && c.reader.Buffered() > 0 { // the client may have given up on this request
-		g.metrics.EarlyRejections.WithLabelValues("pipelined").Inc()
+		c.recordEarlyRejection("pipelined", request.displayID())
 		_ = c.writeResponse(errorResponse(errPipelined), false) // the connection ends either way
 		return false
 	}
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -58,9 +58,10 @@
 	result    string // one of the result constants
 	reason    string // why the request was not served; "" if it was
 
-	eventCount atomic.Int64 // events in the stream
-	firstToken atomic.Int64 // nanoseconds from acceptedAt to the first token
-	bodyBytes  atomic.Int64 // this request's share of Gateway.bodyBytes
+	eventCount     atomic.Int64 // events in the stream
+	sinceLastEvent atomic.Int64 // nanoseconds from the stream's last event to its end
+	firstToken     atomic.Int64 // nanoseconds from acceptedAt to the first token
+	bodyBytes      atomic.Int64 // this request's share of Gateway.bodyBytes
 
 	mu       sync.Mutex
 	attempts []*attempt // only the event loop appends, under mu; other goroutines read under mu
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -66,6 +66,7 @@
 	if len(g.conns) >= g.Limits.MaxConnections && !g.evictIdleConn() {
 		g.mu.Unlock()
 		g.metrics.EarlyRejections.WithLabelValues("connections").Inc()
+		g.log.Info("connection turned away", zap.Stringer("client", conn.RemoteAddr()))
 		_ = conn.Close() // nothing was read from it or written to it
 		return
 	}
@@ -81,7 +82,7 @@
 		delete(g.conns, c)
 		g.mu.Unlock()
 		g.metrics.ClientConnections.Dec()
-		g.metrics.ClosedConnections.WithLabelValues(c.closeReason).Inc()
+		c.recordClose()
 	}()
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -132,6 +132,7 @@
 		return false
 	}
 	r.eventCount.Store(int64(outcome.Events))
+	r.sinceLastEvent.Store(int64(outcome.Stream.SinceLastEvent))
 	if r.collector == nil {
 		a.endStream(outcome)
 		return true
