Failing tests of clients that are left waiting behind endless streams

What callers see: after the first event of a stream the engine's bytes go on without an end, and the client waits for as long as they come. Five seconds after the engine's last event are allowed.

--- a/cmd/brackenbend/fakeengine_test.go
+++ b/cmd/brackenbend/fakeengine_test.go
@@ -37,8 +37,7 @@
 )
 
 // engineStream is the response to each decode request.
-const engineStream = `data: {"choices":[{"index":0,"delta":{"content":"oq"},"finish_reason":"stop"}]}` + "\n\n" +
-	`data: {"choices":[],"usage":{"prompt_tokens":5,"completion_tokens":1}}` + "\n\ndata: [DONE]\n\n"
+const engineStream = tokenEvent + finishEvent + usageEvent + doneEvent
 
 // engineProcess is a fake engine of the platform that reports the requests that reach it on standard output.
 type engineProcess struct {
--- a/cmd/brackenbend/fleet_test.go
+++ b/cmd/brackenbend/fleet_test.go
@@ -19,6 +19,7 @@
 // that report the requests that reach them. A blackhole proxy in the test's process is in front of each engine.
 type processFleet struct {
 	prefillEngines, decodeEngines []*fleetEngine
+	spoilingProxy                 *spoilingProxy // in front of the first decode engine; nil = none
 
 	address        string // of the node
 	logFile        string // of the node
@@ -31,6 +32,7 @@
 	name    string
 	process *os.Process
 	proxy   *blackholeProxy
+	address string // for the node
 }
 
 // fleetPlan describes the fleet that a test uses.
@@ -40,6 +42,8 @@
 	prefillTime      time.Duration // of a prefill engine
 	timeToFirstToken time.Duration // of a decode engine
 	stateTTL         time.Duration // of the node's settings
+
+	spoilt map[string]spoilPlan // streams that are spoilt on their way from the first decode engine, by request id
 }
 
 const (
@@ -70,6 +74,10 @@
 	f := &processFleet{events: make(chan engineEvent, 1000), logFile: filepath.Join(t.TempDir(), "node.log")}
 	f.prefillEngines = f.startEngines(t, prefillEngine, plan.prefillEngines, plan.prefillTime)
 	f.decodeEngines = f.startEngines(t, decodeEngine, plan.decodeEngines, plan.timeToFirstToken)
+	if plan.spoilt != nil {
+		f.spoilingProxy = newSpoilingProxy(t, f.decodeEngines[0].proxy.Addr().String(), plan.spoilt)
+		f.decodeEngines[0].address = f.spoilingProxy.Addr().String()
+	}
 	members := append(fleetMembers(prefillEngine, f.prefillEngines), fleetMembers(decodeEngine, f.decodeEngines)...)
 	discovery, _ := startSilentDiscovery(t)
 	config := filepath.Join(t.TempDir(), "config.json")
@@ -89,7 +97,7 @@
 // fleetMembers returns the entries of engines in the node's cached endpoint list.
 func fleetMembers(kind string, engines []*fleetEngine) (members []string) {
 	for _, e := range engines {
-		members = append(members, fmt.Sprintf(fleetMember, e.name, e.proxy.Addr(), kind))
+		members = append(members, fmt.Sprintf(fleetMember, e.name, e.address, kind))
 	}
 	return members
 }
@@ -121,7 +129,8 @@
 			f.events <- event
 		}
 	}()
-	return &fleetEngine{name: name, process: cmd.Process, proxy: newBlackholeProxy(t, listening.ID)}
+	proxy := newBlackholeProxy(t, listening.ID)
+	return &fleetEngine{name: name, process: cmd.Process, proxy: proxy, address: proxy.Addr().String()}
 }
 
 // startNode starts the node and waits until it serves. If the test fails, the node's log is printed.
