A stream in a chunk that can't be right is given up at once

What callers saw: the engine's stream was spoilt by a chunk size (3 GB, or larger than what was written as one chunk), events seemed to go on inside it, and clients waited for as long as bytes came. 5 s after the engine's last event are allowed; none of the six streams had ended after 8 s.

Cause: the relay took every complete block of lines with data for progress and moved its deadline of 4 s. A chunk of any size was taken, and lines between events that belong to the framing (the sizes of chunks, a status line) were passed on as fields that readers ignore.

Change: http1.Body has a limit that applies to the sizes that chunks state, before they arrive; the relay sets it to the limit of a stream, and ReadAll to that of its body. With StrictEvents, which nodes set, a line that is neither a comment nor a field of event streams breaks the stream.

Packages of engine, gateway, node, http1, sse pass.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -29,6 +29,9 @@
 	// RequireLastChunk means that a stream is complete only after the last chunk, has no error events, and may contain
 	// load reports in comments. Otherwise a stream is complete after its last event.
 	RequireLastChunk bool
+	// StrictEvents means that a stream breaks at the first event that the protocol does not allow. Otherwise such events
+	// are passed on, as the definition of event streams has it.
+	StrictEvents     bool
 	RunsWhenComplete bool // engines execute only complete requests; else the first byte may have an effect
 
 	// SettleDelay is how long the last byte of a request that is not idempotent is withheld. New connections may break
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -17,6 +17,7 @@
 	errEarlyResponse    = errors.New("engine: response arrived before the request was complete")
 	errResponseClaimed  = errors.New("engine: the client has already received another response")
 	errErrorEvent       = errors.New("engine: error event in the stream")
+	errMalformedEvent   = errors.New("engine: malformed event in the stream")
 	errEventTooLarge    = errors.New("engine: event too large")
 	errStreamTooLarge   = errors.New("engine: stream too large")
 	errNoTransferParams = errors.New("engine: prefill reply without kv_transfer_params")
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -65,6 +65,7 @@
 	// A malformed response shows that the engine has run the request: a decode has fetched its read state, so that the
 	// state is no longer available.
 	{matches: isProtocolError, result: routing.EngineError, stateMissing: true},
+	{matches: isOneOf(errMalformedEvent), result: routing.EngineError, stateMissing: true},
 	// the connection was reset or closed after the engine may have started
 	{matches: func(failure) bool { return true }, result: routing.ConnectionReset},
 }
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -44,6 +44,9 @@
 func newStreamRelay(c *Client, a *Attempt, pc *persistConn, resp *http1.Response, sink Sink) streamRelay {
 	r := streamRelay{client: c, attempt: a, conn: pc, sink: sink}
 	r.body.Reset(pc.br, &resp.Message, c.Limits)
+	if c.MaxStreamBytes > 0 {
+		r.body.SetLimit(c.MaxStreamBytes)
+	}
 	return r
 }
 
@@ -169,6 +172,9 @@
 			return start, end, false, nil
 		}
 		event := buffered[end : end+n]
+		if r.client.StrictEvents && !sse.WellFormed(event) {
+			return start, end, false, errMalformedEvent
+		}
 		data := sse.Data(event)
 		switch {
 		case data != nil:
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -11,6 +11,9 @@
 // bounds the memory that a peer can claim with a Content-Length alone.
 const maxPreallocatedBody = 64 << 10
 
+// noLimit is the limit of a body without one.
+const noLimit = -1
+
 // Body reads the body of a message. Read returns io.EOF only at the end of a complete body, io.ErrUnexpectedEOF if the
 // connection ends earlier, and an *Error if the framing is malformed.
 type Body struct {
@@ -20,13 +23,16 @@
 	chunkEndRead bool // the CRLF after the previous chunk's data was read, or there is no previous chunk
 	eof          bool
 	maxTrailer   int   // size limit of the trailer section, in bytes
-	err          error // from WaitReadable; Read returns it
+	limit        int64 // size limit of the whole body, in bytes; noLimit = none
+	chunkBytes   int64 // total size of the chunks so far, the current one included
+	err          error // from SetLimit or WaitReadable; Read returns it
 }
 
 // Reset makes b read the body of m from br, whose next byte is the first after the header of m.
 func (b *Body) Reset(br *bufio.Reader, m *Message, limits Limits) {
 	*b = Body{
 		br: br, remaining: m.ContentLength, chunked: m.Chunked, chunkEndRead: true, maxTrailer: limits.MaxHeaderBytes,
+		limit: noLimit,
 	}
 	if b.chunked {
 		b.remaining = 0
@@ -34,6 +40,16 @@
 	b.eof = !b.chunked && b.remaining == 0
 }
 
+// SetLimit makes Read fail with an *Error of status 413 as soon as the body is said to have more than limit bytes, by its
+// Content-Length or by the sizes of its chunks. It must be called before the first Read. A body that extends to the end
+// of the connection says nothing about its size.
+func (b *Body) SetLimit(limit int64) {
+	b.limit = limit
+	if !b.chunked && b.remaining > limit {
+		b.err = bodyTooLarge(limit)
+	}
+}
+
 // AtEOF reports whether the body was read to its end. Only then can another message be read from the connection.
 func (b *Body) AtEOF() bool { return b.eof }
 
@@ -102,8 +118,9 @@
 
 // ReadAll reads the whole body. For a body of more than limit bytes it returns an *Error with status 413.
 func ReadAll(b *Body, limit int64) ([]byte, error) {
-	if !b.chunked && b.remaining > limit {
-		return nil, bodyTooLarge(limit)
+	b.SetLimit(limit)
+	if b.err != nil {
+		return nil, b.err
 	}
 	if n := b.remaining; !b.chunked && n >= 0 && n <= maxPreallocatedBody {
 		data := make([]byte, n)
--- a/internal/http1/chunk.go
+++ b/internal/http1/chunk.go
@@ -11,7 +11,8 @@
 // maxChunkSizeDigits is the maximum number of hexadecimal digits of a chunk size, so that it fits an int64.
 const maxChunkSizeDigits = 15
 
-// nextChunk reads the size line of the next chunk. After the last chunk it also reads the trailer section.
+// nextChunk reads the size line of the next chunk. After the last chunk it also reads the trailer section. A chunk over
+// the limit of the body is an error.
 func (b *Body) nextChunk() error {
 	if err := b.endChunk(); err != nil {
 		return err
@@ -25,6 +26,10 @@
 	if err != nil {
 		return err
 	}
+	if b.limit != noLimit && size > b.limit-b.chunkBytes {
+		return bodyTooLarge(b.limit)
+	}
+	b.chunkBytes += size
 	b.remaining = size
 	if size > 0 {
 		return nil
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// TestChunkOverLimitIsRejectedByItsSize guards against readers that wait for a chunk that can't fit the body.
+func TestChunkOverLimitIsRejectedByItsSize(t *testing.T) {
+	var b Body
+	b.Reset(newReader("4\r\nabcd\r\nc0000000\r\n"), &Message{ContentLength: -1, Chunked: true}, testLimits)
+	b.SetLimit(100)
+	var e *Error
+	if data, err := io.ReadAll(&b); string(data) != "abcd" || !errors.As(err, &e) || e.Status != 413 {
+		t.Errorf("%q: %v", data, err)
+	}
+}
+
 func TestReadResponseSkipsInterimResponses(t *testing.T) {
 	br := newReader("HTTP/1.1 103 Early\r\nLink: x\r\n\r\n" +
 		"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" +
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -94,6 +94,7 @@
 		LoadReportHeader:    protocol.HeaderLoadReport,
 		StateByRequestID:    true,
 		RequireLastChunk:    true,
+		StrictEvents:        true,
 		RunsWhenComplete:    true,
 		SettleDelay:         settleDelay,
 		ReuseDelay:          reuseDelay,
--- a/internal/sse/sse.go
+++ b/internal/sse/sse.go
@@ -11,6 +11,7 @@
 	eventEnd  = []byte("\n\n")
 	dataField = []byte("data:")
 	space     = []byte(" ")
+	colon     = []byte(":")
 )
 
 // Split returns the length of the first complete event in buf, including its blank line, or 0 if no event is complete.
@@ -78,6 +79,32 @@
 	return data
 }
 
+// WellFormed reports whether an event consists of comments and of fields that event streams define. Readers must ignore
+// other fields, but engines don't write any: they are bytes that belong to something else.
+func WellFormed(event []byte) bool {
+	for len(event) > 0 {
+		var line []byte
+		line, event = cutLine(event)
+		if len(line) > 0 && !isKnownField(line) {
+			return false
+		}
+	}
+	return true
+}
+
+// isKnownField reports whether a line is a comment or a field that event streams define.
+func isKnownField(line []byte) bool {
+	name, _, hasValue := bytes.Cut(line, colon)
+	if !hasValue {
+		return false
+	}
+	switch string(name) {
+	case "", "data", "event", "id", "retry":
+		return true
+	}
+	return false
+}
+
 // cutLine returns the first line of event and the rest. It splits between the CR and the LF of a CRLF, which only adds
 // an empty line that has no data.
 func cutLine(event []byte) (line, rest []byte) {
--- a/internal/sse/sse_test.go
+++ b/internal/sse/sse_test.go
@@ -48,10 +48,25 @@
 	}
 }
 
-func TestSplitAndDataAllocateNothing(t *testing.T) {
+func TestWellFormed(t *testing.T) {
+	for event, want := range map[string]bool{
+		"data: {}\n\n": true, "data:{}\r\n\r\n": true, ": ping\n\n": true, "\n": true, "data: a\rdata: b\r\r": true,
+		"event: x\nid: 1\nretry: 5\ndata: {}\n\n": true,
+		"52\r\ndata: {}\n\n":                      false, // the size of a chunk
+		"HTTP/1.1 200 OK\r\n\r\n":                 false,
+		"Content-Length: 5\ndata: {}\n\n":         false,
+		"data\n\n":                                false,
+	} {
+		if WellFormed([]byte(event)) != want {
+			t.Errorf("%q: %v", event, !want)
+		}
+	}
+}
+
+func TestEventsAreReadWithoutAllocation(t *testing.T) {
 	event := []byte("data: {\"choices\":[]}\n\n")
 	if n := testing.AllocsPerRun(100, func() {
-		if Data(event[:Split(event)]) == nil {
+		if data := event[:Split(event)]; !WellFormed(data) || Data(data) == nil {
 			t.Fatal("no data")
 		}
 	}); n != 0 {
