Events that are no part of an answer don't keep its stream open

What callers saw: after the first event of a stream an engine went on with events that hold no answer (empty objects, empty data, pings, no choices, no JSON), and clients waited for as long as they came: 8 s in all five streams, 5 s after the last event of the answer are allowed.

Cause: the relay's limit of 4 s counted from the last event with any data.

Change: with StrictEvents, which nodes set, an event counts if it has a choice or the usage, or is the last one; data that is neither a JSON object nor [DONE] breaks the stream. Other events are passed on as before. The log's time since the last event counts the same way.

Packages of engine, gateway and node pass.

--- /dev/null
+++ b/internal/engine/answerprogress.go
@@ -0,0 +1,65 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+
+	"brackenbend/internal/sse"
+)
+
+// Names in the JSON of an event.
+var (
+	choicesName = []byte(`"choices"`)
+	usageName   = []byte(`"usage"`)
+)
+
+// answerProgress tells events that bring an answer nearer to its end from those that an engine may go on writing for
+// ever. It allocates nothing. The zero value is ready to use.
+type answerProgress struct{}
+
+// advance reports whether an event with this data adds to the answer: it has a choice, the usage, or is the last one.
+func (p *answerProgress) advance(data []byte) bool {
+	if string(data) == sse.Done {
+		return true
+	}
+	choices := memberValue(data, choicesName)
+	if hasElements(choices) {
+		return true
+	}
+	return bytes.HasPrefix(memberValue(data, usageName), []byte("{"))
+}
+
+// isEventData reports whether data is what the events of an answer hold: a JSON object, or the mark of the last event.
+// Empty data is allowed too, since readers of event streams skip it.
+func isEventData(data []byte) bool {
+	if len(data) == 0 || string(data) == sse.Done {
+		return true
+	}
+	return bytes.HasPrefix(bytes.TrimLeft(data, jsonSpace), []byte("{")) && json.Valid(data)
+}
+
+// jsonSpace are the characters that may stand between the tokens of JSON.
+const jsonSpace = " \t\r\n"
+
+// memberValue returns the rest of object from the value of the first member with this name, which is quoted; nil if
+// there is none. object is valid JSON, so that an unescaped quotation mark begins or ends a string.
+func memberValue(object, name []byte) []byte {
+	for {
+		start := bytes.Index(object, name)
+		if start < 0 {
+			return nil
+		}
+		escaped := start > 0 && object[start-1] == '\\'
+		object = object[start+len(name):]
+		value, isMember := bytes.CutPrefix(bytes.TrimLeft(object, jsonSpace), []byte(":"))
+		if isMember && !escaped {
+			return bytes.TrimLeft(value, jsonSpace)
+		}
+	}
+}
+
+// hasElements reports whether value begins with an array that is not empty.
+func hasElements(value []byte) bool {
+	elements, isArray := bytes.CutPrefix(value, []byte("["))
+	return isArray && !bytes.HasPrefix(bytes.TrimLeft(elements, jsonSpace), []byte("]"))
+}
--- /dev/null
+++ b/internal/engine/answerprogress_test.go
@@ -0,0 +1,52 @@
+package engine
+
+import (
+	"testing"
+)
+
+// answerEvents are data of events, by whether they bring an answer on that has just begun.
+var answerEvents = map[string]bool{
+	`{"choices":[{"index":0,"delta":{"content":"oq"},"finish_reason":null}]}`: true,
+	`{ "id": "a", "choices" : [ {"index":0,"text":""} ] }`:                    true,
+	`{"choices":[],"usage":{"completion_tokens":2}}`:                          true,
+	`[DONE]`:                            true,
+	`{"choices":[]}`:                    false,
+	`{"choices":[ ],"usage":null}`:      false,
+	`{"choices":null}`:                  false,
+	`{}`:                                false,
+	``:                                  false,
+	`{"type":"ping"}`:                   false,
+	`{"text":"\"choices\":[{}]"}`:       false,
+	`{"text":"a \"choices","n":[{}]}`:   false,
+	`{"text":"\"choices","choices":[]}`: false,
+}
+
+func TestOnlyPartsOfAnAnswerAdvanceIt(t *testing.T) {
+	for data, want := range answerEvents {
+		if !isEventData([]byte(data)) {
+			t.Errorf("%s: taken for malformed", data)
+		}
+		if got := (&answerProgress{}).advance([]byte(data)); got != want {
+			t.Errorf("%s: advances the answer: %v", data, got)
+		}
+	}
+}
+
+func TestMalformedEventData(t *testing.T) {
+	for _, data := range []string{"ping", "5", "[]", `"choices"`, `{"choices":[{}]`, "{\"choices\":[{\"delta\":\"\r\n52\"}]}", "[DONE", "{}{}"} {
+		if isEventData([]byte(data)) {
+			t.Errorf("%s: not taken for malformed", data)
+		}
+	}
+}
+
+func BenchmarkAnswerProgress(b *testing.B) {
+	data := []byte(`{"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}`)
+	b.ReportAllocs()
+	for b.Loop() {
+		var p answerProgress
+		if !isEventData(data) || !p.advance(data) {
+			b.Fatal("no part of an answer")
+		}
+	}
+}
--- a/internal/engine/attempt.go
+++ b/internal/engine/attempt.go
@@ -35,9 +35,10 @@
 type streamState struct {
 	begun             bool // the first token arrived and Sink.Begin accepted the stream
 	lastEventReceived bool
+	answer            answerProgress
 	events            int       // events with data, without the last one (sse.Done); used as the token count
 	bytes             int64     // bytes of the body that were read
-	lastEventAt       time.Time // when the last event with data was read; zero = none yet
+	lastEventAt       time.Time // when the last event that brought the answer on was read; zero = none yet
 	cachedTokens      float64
 	loadReport        []float64 // from a comment in the stream; nil = none
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -29,8 +29,9 @@
 	// RequireLastChunk means that a stream is complete only after the last chunk, has no error events, and may contain
 	// load reports in comments. Otherwise a stream is complete after its last event.
 	RequireLastChunk bool
-	// StrictEvents means that a stream breaks at the first event that the protocol does not allow. Otherwise such events
-	// are passed on, as the definition of event streams has it.
+	// StrictEvents means that a stream breaks at the first event that can't be one of the protocol, and that only events
+	// that bring the answer on (answerProgress) count for StreamIdleTimeout. Otherwise all events with data are passed on
+	// and count.
 	StrictEvents     bool
 	RunsWhenComplete bool // engines execute only complete requests; else the first byte may have an effect
 
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -55,7 +55,7 @@
 type StreamProgress struct {
 	Events         int           // events with data, without the last one
 	Bytes          int64         // bytes of the body that were read
-	SinceLastEvent time.Duration // from the last event with data to the end of the stream; 0 = there was none
+	SinceLastEvent time.Duration // from the last event that brought the answer on to the end; 0 = there was none
 }
 
 // progress returns how far the stream has got.
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -34,10 +34,10 @@
 	body    http1.Body // not a pointer, which would move it to the heap
 	sink    Sink
 
-	pooledBuffer  *[]byte // the buffer taken from relayBuffers; nil = none
-	buf           []byte  // *pooledBuffer, or a larger buffer after growBuffer
-	filled        int     // bytes in buf that were read and not yet passed on
-	eventReceived bool    // an event has arrived since extendDeadline was called last
+	pooledBuffer *[]byte // the buffer taken from relayBuffers; nil = none
+	buf          []byte  // *pooledBuffer, or a larger buffer after growBuffer
+	filled       int     // bytes in buf that were read and not yet passed on
+	advanced     bool    // an event has brought the answer on since extendDeadline was called last
 }
 
 // newStreamRelay returns a relay for the stream whose response header resp was read from pc.
@@ -92,13 +92,13 @@
 	}
 }
 
-// extendDeadline sets the read deadline to StreamIdleTimeout from now if an event has arrived. Comments and the bytes
-// of an incomplete event don't extend it: the client waits for events.
+// extendDeadline sets the read deadline to StreamIdleTimeout from now if an event has brought the answer on. Nothing
+// else extends it: the client waits for the answer.
 func (r *streamRelay) extendDeadline() error {
-	if !r.eventReceived {
+	if !r.advanced {
 		return nil
 	}
-	r.eventReceived = false
+	r.advanced = false
 	return r.conn.SetReadDeadline(time.Now().Add(r.client.StreamIdleTimeout))
 }
 
@@ -199,14 +199,19 @@
 	if bytes.HasPrefix(data, errorEventPrefix) && !r.client.RequireLastChunk {
 		return fmt.Errorf("%w: %.200s", errErrorEvent, data)
 	}
+	if r.client.StrictEvents && !isEventData(data) {
+		return errMalformedEvent
+	}
 	if !stream.begun {
 		if !r.sink.Begin() {
 			return errResponseClaimed
 		}
 		stream.begun = true
 	}
-	r.eventReceived = true
-	stream.lastEventAt = time.Now()
+	if !r.client.StrictEvents || stream.answer.advance(data) {
+		r.advanced = true
+		stream.lastEventAt = time.Now()
+	}
 	if string(data) == sse.Done {
 		stream.lastEventReceived = true
 		return nil
