What follows the end of an answer doesn't keep its stream open

What callers saw: an engine that had ended its answer (finish reason, usage, [DONE]) wrote on, the same events again or more tokens, and the client's stream had no end: 8 s in all five streams, 5 s after the last event of the answer are allowed.

Cause: each event with a choice or the usage extended the deadline of 4 s, in whatever order they came; after [DONE] the relay waited for the last chunk under the same rule.

Packages of engine and node pass.

--- a/internal/engine/answerprogress_test.go
+++ b/internal/engine/answerprogress_test.go
@@ -32,6 +32,31 @@
 	}
 }
 
+// TestFinishedAnswerDoesNotAdvance guards against engines that write on after the end of an answer.
+func TestFinishedAnswerDoesNotAdvance(t *testing.T) {
+	var p answerProgress
+	for i, step := range []struct {
+		data string
+		want bool
+	}{
+		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":null}]}`, true},
+		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":"stop"}]}`, true},
+		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":null}]}`, false},
+		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":"stop"}]}`, false},
+		{`{"choices":[{"index":0,"delta":{"content":"\"finish_reason\":\"stop"},"finish_reason":null}]}`, true},
+		{`{"choices":[{"delta":{"content":"oq"},"finish_reason":"length"}]}`, true},
+		{`{"choices":[{"index":0,"delta":{"content":"oq"}}]}`, false},
+		{`{"choices":[{"index":70,"finish_reason":"stop"}]}`, true},
+		{`{"choices":[],"usage":{"completion_tokens":2}}`, true},
+		{`{"choices":[],"usage":{"completion_tokens":2}}`, false},
+		{`[DONE]`, true},
+	} {
+		if got := p.advance([]byte(step.data)); got != step.want {
+			t.Errorf("event %d, %s: advances the answer: %v", i, step.data, got)
+		}
+	}
+}
+
 func TestMalformedEventData(t *testing.T) {
 	for _, data := range []string{"ping", "5", "[]", `"choices"`, `{"choices":[{}]`, "{\"choices\":[{\"delta\":\"\r\n52\"}]}", "[DONE", "{}{}"} {
 		if isEventData([]byte(data)) {
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -199,7 +199,7 @@
 	if bytes.HasPrefix(data, errorEventPrefix) && !r.client.RequireLastChunk {
 		return fmt.Errorf("%w: %.200s", errErrorEvent, data)
 	}
-	if r.client.StrictEvents && !isEventData(data) {
+	if r.client.StrictEvents && (stream.lastEventReceived || !isEventData(data)) {
 		return errMalformedEvent
 	}
 	if !stream.begun {
