A stream with many more events than the answer may have tokens is given up

What callers saw: an engine wrote one token again and again, 80 of them where the request allowed 8, and its client waited behind an answer that did not end.

Cause: nothing bounded the length of an answer but the 256 KiB of a stream, which at the pace of tokens is minutes away.

Change: with StrictEvents a stream breaks after two events for each token that the request allows (Req-Extra's max_out) and sixteen more: an event has a token or stands beside one, and a few mark start and end.

What remains: an engine that repeats sound tokens within the limit can't be told from a slow one.

--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -18,6 +18,7 @@
 	errResponseClaimed  = errors.New("engine: the client has already received another response")
 	errErrorEvent       = errors.New("engine: error event in the stream")
 	errMalformedEvent   = errors.New("engine: malformed event in the stream")
+	errTooManyEvents    = errors.New("engine: more events than the answer may have")
 	errEventTooLarge    = errors.New("engine: event too large")
 	errStreamTooLarge   = errors.New("engine: stream too large")
 	errNoTransferParams = errors.New("engine: prefill reply without kv_transfer_params")
--- a/internal/engine/failure_test.go
+++ b/internal/engine/failure_test.go
@@ -39,6 +39,7 @@
 		"error event":        {errErrorEvent, started, outcomeRow{1, false}, outcomeRow{1, false}},
 		"event too large":    {errEventTooLarge, started, outcomeRow{1, false}, outcomeRow{1, false}},
 		"malformed event":    {errMalformedEvent, started, outcomeRow{1, true}, outcomeRow{6, false}},
+		"too many events":    {errTooManyEvents, started, outcomeRow{1, false}, outcomeRow{1, false}},
 		"stream too large":   {errStreamTooLarge, started, outcomeRow{1, false}, outcomeRow{1, false}},
 		"stream truncated":   {errStreamTruncated, started, outcomeRow{5, false}, outcomeRow{5, false}},
 		"response claimed":   {errResponseClaimed, started, outcomeRow{6, false}, outcomeRow{6, false}},
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -45,8 +45,8 @@
 }{
 	// the request was deliberately not sent or not completed, or the connection limit was reached
 	{matches: isOneOf(errNotSent, errConnLimit), result: routing.NotSent},
-	// the stream contains an error event or exceeds a size limit
-	{matches: isOneOf(errErrorEvent, errEventTooLarge, errStreamTooLarge), result: routing.EngineError},
+	// the stream contains an error event, or exceeds a limit on its size or its events
+	{matches: isOneOf(errErrorEvent, errEventTooLarge, errStreamTooLarge, errTooManyEvents), result: routing.EngineError},
 	// the stream ended without its last event
 	{matches: isOneOf(errStreamTruncated), result: routing.ConnectionReset},
 	// the client has another response, has disconnected, or does not read the stream
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -34,6 +34,8 @@
 	body    http1.Body // not a pointer, which would move it to the heap
 	sink    Sink
 
+	maxEvents int // highest number of events with data that the answer may have, with StrictEvents; 0 = no limit
+
 	pooledBuffer *[]byte // the buffer taken from relayBuffers; nil = none
 	buf          []byte  // *pooledBuffer, or a larger buffer after growBuffer
 	filled       int     // bytes in buf that were read and not yet passed on
@@ -217,6 +219,9 @@
 		return nil
 	}
 	stream.events++
+	if r.client.StrictEvents && r.maxEvents > 0 && stream.events > r.maxEvents {
+		return fmt.Errorf("%w: over %d", errTooManyEvents, r.maxEvents)
+	}
 	if bytes.HasPrefix(data, usageEventPrefix) {
 		stream.cachedTokens = api.CachedTokens(data)
 	}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -37,6 +37,7 @@
 		_ = pc.SetReadDeadline(earlierDeadline(c.StreamIdleTimeout, call.Deadline)) // if this fails, the read fails too
 	}
 	stream := newStreamRelay(c, a, pc, resp, sink)
+	stream.maxEvents = call.maxEvents()
 	out := stream.relay()
 	out.Stream = a.stream.progress()
 	out.Events, out.CachedTokens, out.LoadReport = a.stream.events, a.stream.cachedTokens, a.stream.loadReport
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,6 +84,7 @@
 	}
 	if a.decode {
 		call.Body = a.request.bodies.DecodeBody(a.kvParams, a.request.collector != nil)
+		call.MaxTokens = int(a.request.routing.MaxOutputTokens)
 		call.NotIdempotent = a.request.class.Idempotency == routing.NotIdempotent
 		return l.engines.Decode(&a.handle, a.endpoint, call, a)
 	}
