Failing test: a stream is cut off while its engine is still writing an event

What callers see: an engine that writes a long answer very slowly (15 bytes a second) is cut off 4 s after its last event, although bytes of the next one keep coming.

--- a/cmd/brackenbend/fleet_test.go
+++ b/cmd/brackenbend/fleet_test.go
@@ -43,6 +43,8 @@
 	timeToFirstToken time.Duration // of a decode engine
 	stateTTL         time.Duration // of the node's settings
 
+	prefillThrottle, decodeThrottle throttle // of the first prefill engine and of the first decode engine
+
 	spoilt map[string]spoilPlan // streams that are spoilt on their way from the first decode engine, by request id
 }
 
@@ -74,6 +76,8 @@
 	f := &processFleet{events: make(chan engineEvent, 1000), logFile: filepath.Join(t.TempDir(), "node.log")}
 	f.prefillEngines = f.startEngines(t, prefillEngine, plan.prefillEngines, plan.prefillTime)
 	f.decodeEngines = f.startEngines(t, decodeEngine, plan.decodeEngines, plan.timeToFirstToken)
+	f.throttle(t, f.prefillEngines[0], plan.prefillThrottle)
+	f.throttle(t, f.decodeEngines[0], plan.decodeThrottle)
 	if plan.spoilt != nil {
 		f.spoilingProxy = newSpoilingProxy(t, f.decodeEngines[0].proxy.Addr().String(), plan.spoilt)
 		f.decodeEngines[0].address = f.spoilingProxy.Addr().String()
@@ -89,6 +93,14 @@
 	return f
 }
 
+// throttle puts a proxy in front of an engine that reads or writes slowly.
+func (f *processFleet) throttle(t *testing.T, e *fleetEngine, limits throttle) {
+	t.Helper()
+	if limits != (throttle{}) {
+		e.address = newThrottlingProxy(t, e.address, limits).Addr().String()
+	}
+}
+
 // engines returns all engines of the fleet.
 func (f *processFleet) engines() []*fleetEngine {
 	return slices.Concat(f.prefillEngines, f.decodeEngines)
