A stream isn't cut off while its engine is writing an event slowly

What callers saw: an engine wrote an answer at 15 bytes a second; 4 s after its last event the stream was cut off, though bytes of the next one came all the time.

Nothing told an event in the making from such bytes.

Change: where the deadline passes and the bytes since the last event can still become the next one (a data field with the beginning of a JSON object, at most twice as large as the largest event before it or 256 bytes, no comment or ping in between), the read goes on as long as bytes come with gaps of at most 0.9 s, until 16 s after the last event.

Why it holds: an engine that falls silent is given up at 4.9 s at the latest; bytes at the pace of tokens outgrow the size long before 4 s; a chunk of 3 GB is refused by its size. What can't be told apart: a few bytes a second that look like the beginning of an event and never end; clients wait up to 16 s behind those.

Engine, gateway and node pass.

--- a/cmd/brackenbend/endlessstream_test.go
+++ b/cmd/brackenbend/endlessstream_test.go
@@ -24,14 +24,18 @@
 	hugeChunk = "c0000000\r\n"
 )
 
-// checkSpoiltStreamsEnd sends a request for each spoilt stream to a fleet of processes, all at once. It checks that
-// each client's connection ends in time after the engine's last event, without the last chunk.
-func checkSpoiltStreamsEnd(t *testing.T, spoilt map[string]spoilPlan) {
+// longAnswer is a number of tokens that no stream of these tests reaches.
+const longAnswer = 800
+
+// checkSpoiltStreamsEnd sends a request for each spoilt stream to a fleet of processes, all at once, for an answer of at
+// most maxTokens. It checks that each client's connection ends in time after the engine's last event, without the last
+// chunk.
+func checkSpoiltStreamsEnd(t *testing.T, maxTokens int, spoilt map[string]spoilPlan) {
 	t.Helper()
 	f := newFleet(t, fleetPlan{prefillEngines: 1, decodeEngines: 1, stateTTL: time.Second, spoilt: spoilt})
 	var group sync.WaitGroup
 	for id := range spoilt {
-		conn := f.send(t, id, idempotentClass)
+		conn := f.sendFor(t, id, idempotentClass, maxTokens)
 		group.Go(func() {
 			_ = conn.SetReadDeadline(time.Now().Add(spoiltClientPatience))
 			answer, err := io.ReadAll(conn)
@@ -54,7 +58,7 @@
 // TestStreamInAMisframedChunkIsGivenUp guards against clients that are left waiting behind a chunk that is larger than
 // any stream, or than what was written as one chunk, and whose bytes look like events.
 func TestStreamInAMisframedChunkIsGivenUp(t *testing.T) {
-	checkSpoiltStreamsEnd(t, map[string]spoilPlan{
+	checkSpoiltStreamsEnd(t, longAnswer, map[string]spoilPlan{
 		"events-in-a-huge-chunk":          {start: hugeChunk, repeat: tokenEvent},
 		"data-in-a-huge-chunk":            {start: hugeChunk, repeat: "data: noise\n\n"},
 		"chunks-in-a-huge-chunk":          {start: hugeChunk, repeat: chunkOf(tokenEvent)},
@@ -67,7 +71,7 @@
 // TestStreamOfEventsWithoutAnswerIsGivenUp guards against clients that are left waiting behind events that are no part
 // of an answer.
 func TestStreamOfEventsWithoutAnswerIsGivenUp(t *testing.T) {
-	checkSpoiltStreamsEnd(t, map[string]spoilPlan{
+	checkSpoiltStreamsEnd(t, longAnswer, map[string]spoilPlan{
 		"empty-objects":   {repeat: chunkOf("data: {}\n\n")},
 		"empty-data":      {repeat: chunkOf("data:\n\n")},
 		"no-JSON":         {repeat: chunkOf("data: ping\n\n")},
@@ -79,7 +83,7 @@
 // TestStreamAfterTheAnswersEndIsGivenUp guards against clients that are left waiting behind a stream that goes on after
 // the events that end an answer.
 func TestStreamAfterTheAnswersEndIsGivenUp(t *testing.T) {
-	checkSpoiltStreamsEnd(t, map[string]spoilPlan{
+	checkSpoiltStreamsEnd(t, longAnswer, map[string]spoilPlan{
 		"usage-again":            {start: chunkOf(finishEvent), repeat: chunkOf(usageEvent)},
 		"DONE-again":             {start: chunkOf(finishEvent + usageEvent), repeat: chunkOf(doneEvent)},
 		"tokens-after-a-finish":  {start: chunkOf(finishEvent), repeat: chunkOf(tokenEvent)},
@@ -91,7 +95,7 @@
 // TestStreamOfTooManyTokensIsGivenUp guards against clients that are left waiting behind an engine that repeats an
 // event: the answer is longer than the client has allowed.
 func TestStreamOfTooManyTokensIsGivenUp(t *testing.T) {
-	checkSpoiltStreamsEnd(t, map[string]spoilPlan{
+	checkSpoiltStreamsEnd(t, shortAnswer, map[string]spoilPlan{
 		"a-token-again-and-again": {repeat: chunkOf(tokenEvent)},
 	})
 }
@@ -99,9 +103,12 @@
 // TestStreamWithoutEventsIsGivenUp guards against clients that are left waiting behind an engine that is silent, or
 // whose bytes hold no event.
 func TestStreamWithoutEventsIsGivenUp(t *testing.T) {
-	checkSpoiltStreamsEnd(t, map[string]spoilPlan{
+	checkSpoiltStreamsEnd(t, longAnswer, map[string]spoilPlan{
 		"silence":                     {repetitions: 1},
 		"silence-after-half-an-event": {start: chunkOf(`data: {"choices"`), repetitions: 1},
+		"half-an-event-without-an-end": {
+			start: chunkOf(`data: {"choices":[{"delta":{"content":"`), repeat: chunkOf(strings.Repeat("x", 75)),
+		},
 		"silence-after-DONE":          {start: chunkOf(finishEvent + doneEvent), repetitions: 1},
 		"silence-in-a-huge-chunk":     {start: hugeChunk, repetitions: 1},
 		"noise-in-a-huge-chunk":       {start: hugeChunk, repeat: strings.Repeat("x", 75)},
--- a/cmd/brackenbend/fleetrequests_test.go
+++ b/cmd/brackenbend/fleetrequests_test.go
@@ -17,8 +17,17 @@
 // again.
 const reuseDelayPassed = 50 * time.Millisecond
 
-// send sends a request on a new connection.
+// shortAnswer is the number of tokens that the answers of most tests may have.
+const shortAnswer = 8
+
+// send sends a request for a short answer on a new connection.
 func (f *processFleet) send(t *testing.T, id, class string) net.Conn {
+	t.Helper()
+	return f.sendFor(t, id, class, shortAnswer)
+}
+
+// sendFor sends a request for an answer of at most maxTokens on a new connection.
+func (f *processFleet) sendFor(t *testing.T, id, class string, maxTokens int) net.Conn {
 	t.Helper()
 	conn, err := net.Dial("tcp", f.address)
 	if err != nil {
@@ -29,9 +38,10 @@
 		conn,
 		"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Key: 7f\r\n"+
 			"Req-Deadline-Ms: 8000\r\n"+
-			"Req-Extra: prompt_len=20,max_out=8\r\nContent-Length: 2\r\n\r\n{}",
+			"Req-Extra: prompt_len=20,max_out=%d\r\nContent-Length: 2\r\n\r\n{}",
 		id,
 		class,
+		maxTokens,
 	)
 	return conn
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -44,6 +44,10 @@
 	DialTimeout       time.Duration
 	HeaderTimeout     time.Duration // from the first byte of a response header to its end; 0 = until the call's deadline
 	StreamIdleTimeout time.Duration // longest wait between the events of a stream; with HeaderTimeout also for the first
+	// SlowEventGap is the longest wait between the bytes of an event that is not complete by StreamIdleTimeout, and
+	// SlowEventTimeout how long such an event may take, from the event before it. 0 = no longer than StreamIdleTimeout.
+	SlowEventGap     time.Duration
+	SlowEventTimeout time.Duration
 
 	MaxStreamBytes int64 // size limit of a whole stream, in bytes; 0 = no limit
 	MaxEventBytes  int   // size limit of one event, in bytes
--- a/internal/engine/conn.go
+++ b/internal/engine/conn.go
@@ -16,13 +16,17 @@
 // (socket.ResetOnClose): a request that was given up must not arrive later. Releases are an exception.
 type persistConn struct {
 	net.Conn
-	br        *bufio.Reader
-	idleSince time.Time // when its last response ended
-	reused    bool      // an earlier request has been sent on it
+	br         *bufio.Reader
+	idleSince  time.Time // when its last response ended
+	reused     bool      // an earlier request has been sent on it
+	extra      extraTime // set by the relay of a stream
+	lastReadAt time.Time // when bytes were last read, where there is extra time
 }
 
 func newPersistConn(nc net.Conn) *persistConn {
-	return &persistConn{Conn: nc, br: bufio.NewReaderSize(nc, connReadBuffer)}
+	pc := &persistConn{Conn: nc}
+	pc.br = bufio.NewReaderSize(pc, connReadBuffer)
+	return pc
 }
 
 // idleFor is the time since an idle connection was last used.
--- a/internal/engine/relay.go
+++ b/internal/engine/relay.go
@@ -40,6 +40,8 @@
 	buf          []byte  // *pooledBuffer, or a larger buffer after growBuffer
 	filled       int     // bytes in buf that were read and not yet passed on
 	advanced     bool    // an event has brought the answer on since extendDeadline was called last
+	strayed      bool    // a comment, or an event that doesn't bring the answer on, has come after the last one that does
+	largestEvent int     // size of the largest event with data, in bytes
 }
 
 // newStreamRelay returns a relay for the stream whose response header resp was read from pc.
@@ -63,10 +65,12 @@
 // run reads the stream and passes its events to the sink until the end of the stream or an error.
 func (r *streamRelay) run() error {
 	defer r.releaseBuffer()
+	defer func() { r.conn.extra = extraTime{} }()
 	for {
 		if err := r.extendDeadline(); err != nil {
 			return err
 		}
+		r.grantExtraTime()
 		if r.filled == 0 {
 			r.releaseBuffer()
 			r.body.WaitReadable()
@@ -178,11 +182,13 @@
 			return start, end, false, errMalformedEvent
 		}
 		data := sse.Data(event)
+		r.strayed = true
 		switch {
 		case data != nil:
 			if err := r.acceptData(data); err != nil {
 				return start, end, false, err
 			}
+			r.largestEvent = max(r.largestEvent, n)
 		case stream.begun:
 			r.acceptComment(event)
 		default: // a comment before the first token is dropped
@@ -211,7 +217,7 @@
 		stream.begun = true
 	}
 	if !r.client.StrictEvents || stream.answer.advance(data) {
-		r.advanced = true
+		r.advanced, r.strayed = true, false
 		stream.lastEventAt = time.Now()
 	}
 	if string(data) == sse.Done {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -31,6 +31,8 @@
 // Timeouts for engines.
 const (
 	streamIdleTimeout        = 4 * time.Second        // a client must not wait 5 s after an engine's last event
+	slowEventGap             = 900 * time.Millisecond // an engine that stops writing after 4 s is given up before 5 s
+	slowEventTimeout         = 16 * time.Second
 	replyHeaderTimeout       = 500 * time.Millisecond // after a reply's first byte; its first event follows at once
 	defaultDialTimeout       = 250 * time.Millisecond // used if the settings contain none
 	defaultEngineIdleTimeout = 30 * time.Second       // likewise
@@ -101,6 +103,8 @@
 		DialTimeout:         positiveOr(c.Site.DialTimeout, defaultDialTimeout),
 		HeaderTimeout:       replyHeaderTimeout,
 		StreamIdleTimeout:   streamIdleTimeout,
+		SlowEventGap:        slowEventGap,
+		SlowEventTimeout:    slowEventTimeout,
 		IdleTimeout:         positiveOr(c.Site.ConnIdleTimeout, defaultEngineIdleTimeout) * 2 / 3, // less than the engine's
 		MaxConns:            limits.MaxEngineConns,
 		MaxConnsPerEndpoint: limits.MaxConnsPerEngine,
