A client that sends without waiting for responses can't keep the processor busy

What callers saw: while one connection sent small requests at full speed (health checks, unknown paths, classes, tenants, bodies that are none; new names or the same), the answers of eight other clients took 63 to 71 ms in the mean and 132 ms at worst, 1.6 and 5 ms without it (a node process of half a core, engines in processes, 6 s, one run each).

Cause: with one processor a goroutine that always has input is never off it but by preemption, and the runtime polls the network only every 10 ms then; each step of another request waits for that.

Change: before a request that was sent ahead of the response to the one before it, the connection's goroutine pauses for 1 ms. The protocol has one request at a time on a connection, so that usual clients don't meet it.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -48,6 +48,10 @@
 	lingerBytes = 1 << 20
 )
 
+// pipelinedPause is the pause before a request that was sent before the response to the one before it. A client that
+// sends without waiting could otherwise keep the processor busy.
+const pipelinedPause = time.Millisecond
+
 // pastDeadline is a read deadline that makes pending and later reads fail at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -75,6 +79,9 @@
 		if !c.handleRequest(req) {
 			return
 		}
+		if c.reader.Buffered() > 0 {
+			time.Sleep(pipelinedPause)
+		}
 	}
 }
 
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -305,3 +305,19 @@
 	text, err := io.ReadAll(c)
 	return string(text), err
 }
+
+// TestPipelinedRequestsArePaced guards against one client that keeps the processor busy, while others wait, by sending
+// small requests without waiting for the responses.
+func TestPipelinedRequestsArePaced(t *testing.T) {
+	tg := newTestGateway(t, "", "reader", "writer")
+	const requests = 200
+	small := "GET /nothing HTTP/1.1\r\nHost: a\r\n\r\n"
+	start := time.Now()
+	got := tg.sendRaw(strings.Repeat(small, requests-1) + "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+	if n := strings.Count(got, "HTTP/1.1 404"); n != requests {
+		t.Errorf("%d responses to %d requests", n, requests)
+	}
+	if took, shortest := time.Since(start), requests/2*pipelinedPause; took < shortest {
+		t.Errorf("%d pipelined requests were answered in %v, less than %v", requests, took, shortest)
+	}
+}
