A client's close is seen behind its unread bytes

What callers saw: a client wrote a request and more behind it and closed its connection; the request was sent to an engine afterwards. With serve, which answers pipelined requests in turn, the first one went on to its deadline, and the second was begun after that, for nobody.

Cause: a look at the socket says that bytes are unread, not what is behind them, and counted as a client that is there; the connection's goroutine, which has input, waits for the answer without reading.

Change: socket.PeerClosed asks the kernel for the state of the connection (TCP_INFO) where bytes are unread. Attempts ask it before they write, and the wait for an answer every 50 ms.

Why it holds: the state changes when the FIN or reset arrives, whatever is unread. Where the kernel doesn't tell, things are as before.

Measured: TestNoAttemptIsSentAfterCloseBehindUnreadBytes (the attempt was sent) and TestPipelinedRequestOfAClosedConnectionIsNotSent (the first went on, the second was begun) failed before and pass, with the race detector too; TestReadState has closes and resets behind bytes. On a node the first needs a goroutine that is held up, since a second request there is an error.

--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -37,8 +37,12 @@
 	return c.handleClientClose(request)
 }
 
-// awaitAnswerWithBufferedInput waits for the answer when the client has already sent more bytes. A close behind these
-// bytes can't be detected, so the wait is for the answer and the deadlines only.
+// closeCheckInterval is how often a connection with unread input is asked for a close behind that input. An attempt must
+// not begin over 0.1 s after the close.
+const closeCheckInterval = 50 * time.Millisecond
+
+// awaitAnswerWithBufferedInput waits for the answer when the client has already sent more bytes. A read would not show
+// a close behind these bytes, so the operating system is asked for it from time to time.
 func (c *clientConn) awaitAnswerWithBufferedInput(request *inflightRequest, backstop time.Time) (disconnected bool) {
 	if c.gateway.Pipelining == RejectPipelining { // the client has sent more, so it may have given up on this request
 		response := errorResponse(errPipelined)
@@ -50,21 +54,25 @@
 		}
 		c.pipelined = true
 	}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	for {
-		deadline := backstop
-		if request.state.Load() == answerStreaming {
-			if deadline = request.answerDeadline; deadline.IsZero() {
-				<-request.done
-				return false
-			}
-		}
-		timer := time.NewTimer(max(time.Until(deadline), time.Millisecond))
 		select {
 		case <-request.done:
-			timer.Stop()
 			return false
 		case <-timer.C:
-			c.handleReadTimeout(request, backstop)
+		}
+		if c.peerClosed() {
+			return c.handleClientClose(request)
+		}
+		c.handleReadTimeout(request, backstop)
+		deadline := backstop
+		if request.state.Load() == answerStreaming {
+			deadline = request.answerDeadline
+		}
+		timer.Reset(closeCheckInterval)
+		if untilDeadline := time.Until(deadline); untilDeadline > 0 && untilDeadline < closeCheckInterval {
+			timer.Reset(untilDeadline)
 		}
 	}
 }
@@ -115,4 +123,4 @@
 
 // peerClosed asks the operating system whether the client has closed its connection. The connection's goroutine notices
 // it too, but may be scheduled late.
-func (c *clientConn) peerClosed() bool { return socket.ReadState(c.conn) == socket.Closed }
+func (c *clientConn) peerClosed() bool { return socket.PeerClosed(c.conn) }
--- a/internal/gateway/disconnect_test.go
+++ b/internal/gateway/disconnect_test.go
@@ -149,7 +149,19 @@
 
 // TestNoAttemptIsSentAfterUnreadClose: a client has disconnected, but its connection's goroutine has not read the close
 // when the first attempt is about to be sent. The operating system reports the close, and nothing is sent.
-func TestNoAttemptIsSentAfterUnreadClose(t *testing.T) {
+func TestNoAttemptIsSentAfterUnreadClose(t *testing.T) { checkUnreadClose(t, "") }
+
+// TestNoAttemptIsSentAfterCloseBehindUnreadBytes guards against requests that are sent on though their client has
+// closed its connection, since more of its bytes are unread before the close.
+func TestNoAttemptIsSentAfterCloseBehindUnreadBytes(t *testing.T) { checkUnreadClose(t, unreadBytes) }
+
+// unreadBytes are more than a connection's read buffer holds, so that some stay in the socket.
+var unreadBytes = strings.Repeat("x", 2*clientReadBufferSize)
+
+// checkUnreadClose checks that nothing is sent for a client that has written a request and more bytes and has closed its
+// connection, while the goroutine of the connection has read only the request.
+func checkUnreadClose(t *testing.T, more string) {
+	t.Helper()
 	tg := newTestGateway(t, "", "reader", "writer")
 	reads, secondReadStarted := 0, make(chan struct{})
 	readResumed := make(chan struct{})
@@ -163,10 +175,17 @@
 			}
 		},
 	}, func(c *net.TCPConn) {
-		send(t, c, chatRequest(chatBody(true, 3), ""))
+		request := chatRequest(chatBody(true, 3), "X-Pad: \r\n")
+		padding := strings.Repeat("x", clientReadBufferSize-len(request)) // so that one read takes the request alone
+		send(t, c, strings.Replace(request, "X-Pad: ", "X-Pad: "+padding, 1))
+		send(t, c, more)
 		closeQuietly(c)
 	})
-	<-secondReadStarted
+	select {
+	case <-secondReadStarted:
+	case <-time.After(waitTimeout):
+		t.Fatal("the connection's goroutine does not wait for the answer in a read")
+	}
 	tg.eventually("an attempt ended as not sent", func() bool {
 		return testutil.ToFloat64(tg.gateway.metrics.Attempts.WithLabelValues(
 			"read", attemptResultNames[routing.NotSent])) > 0
@@ -177,3 +196,27 @@
 	})
 	tg.requireNoArrivals()
 }
+
+// TestPipelinedRequestOfAClosedConnectionIsNotSent guards against requests that are sent on long after their client has
+// closed its connection: they waited behind another one, and the close behind them was not seen.
+func TestPipelinedRequestOfAClosedConnectionIsNotSent(t *testing.T) {
+	tg, stub := newTestGatewayWithStub(t, "")
+	decoding, givenUp := make(chan struct{}, 10), make(chan struct{}, 10)
+	stub.setDecodeReply(func(c net.Conn) {
+		decoding <- struct{}{}
+		_, _ = io.Copy(io.Discard, c) // until the gateway gives up the attempt
+		givenUp <- struct{}{}
+	})
+	c := tg.dial(chatRequest(chatBody(true, 3), "") + chatRequest(chatBody(true, 4), "") + unreadBytes)
+	tg.eventually("a decode has begun", func() bool { return len(decoding) > 0 })
+	<-decoding
+	closeQuietly(c)
+	tg.eventually("the decode is given up", func() bool { return len(givenUp) > 0 })
+	tg.awaitOpenRequests(0)
+	if n := testutil.ToFloat64(tg.gateway.metrics.FinalAnswers.WithLabelValues("ask", resultClientGone)); n == 0 {
+		t.Error("the first request went on after its client had closed the connection")
+	}
+	if len(decoding) > 0 {
+		t.Error("a request was sent on after its client had closed the connection")
+	}
+}
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -35,6 +35,27 @@
 	return state
 }
 
+// PeerClosed reports whether the peer of nc has closed or reset the connection, or its sending side, also where data
+// before the close is unread. Where the kernel does not tell, it returns false while data is unread.
+func PeerClosed(nc net.Conn) bool {
+	switch ReadState(nc) {
+	case Closed:
+		return true
+	case Idle:
+		return false
+	}
+	info, err := 0, error(nil)
+	controlErr := control(nc, func(fd uintptr) { info, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if cmp.Or(controlErr, err) != nil {
+		return false
+	}
+	switch state := byte(info); state { // the first byte of TCP_INFO
+	case unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSING, unix.BPF_TCP_TIME_WAIT, unix.BPF_TCP_CLOSE:
+		return true
+	}
+	return false
+}
+
 // errNoSocket means that a connection is not one of the operating system.
 var errNoSocket = errors.New("socket: the connection has no socket")
 
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -49,18 +49,28 @@
 
 func TestReadState(t *testing.T) {
 	for name, c := range map[string]struct {
-		act  func(t *testing.T, peer *net.TCPConn)
-		want State
+		act    func(t *testing.T, peer *net.TCPConn)
+		want   State
+		closed bool // PeerClosed
 	}{
-		"open":                 {func(*testing.T, *net.TCPConn) {}, Idle},
-		"bytes":                {write, Readable},
-		"bytes before the end": {func(t *testing.T, peer *net.TCPConn) { write(t, peer); closePeer(t, peer) }, Readable},
-		"closed":               {closePeer, Closed},
-		"half-closed":          {func(t *testing.T, peer *net.TCPConn) { check(t, peer.CloseWrite()) }, Closed},
+		"open":                 {func(*testing.T, *net.TCPConn) {}, Idle, false},
+		"bytes":                {write, Readable, false},
+		"bytes before the end": {func(t *testing.T, peer *net.TCPConn) { write(t, peer); closePeer(t, peer) }, Readable, true},
+		"bytes before a half-close": {func(t *testing.T, peer *net.TCPConn) {
+			write(t, peer)
+			check(t, peer.CloseWrite())
+		}, Readable, true},
+		"bytes before a reset": {func(t *testing.T, peer *net.TCPConn) {
+			write(t, peer)
+			check(t, peer.SetLinger(0))
+			closePeer(t, peer)
+		}, Readable, true},
+		"closed":      {closePeer, Closed, true},
+		"half-closed": {func(t *testing.T, peer *net.TCPConn) { check(t, peer.CloseWrite()) }, Closed, true},
 		"reset": {func(t *testing.T, peer *net.TCPConn) {
 			check(t, peer.SetLinger(0))
 			closePeer(t, peer)
-		}, Closed},
+		}, Closed, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			local, peer := connect(t)
@@ -76,6 +86,9 @@
 			if got := ReadState(local); got != c.want {
 				t.Errorf("state %d, want %d", got, c.want)
 			}
+			if got := PeerClosed(local); got != c.closed {
+				t.Errorf("closed by the peer: %v, want %v", got, c.closed)
+			}
 			check(t, local.Close())
 			if got := ReadState(local); got != Closed {
 				t.Errorf("after a local close: state %d, want Closed", got)
