--- a/cmd/brackenbend/endlessstream_test.go
+++ b/cmd/brackenbend/endlessstream_test.go
@@ -27,9 +27,9 @@
 // longAnswer is a number of tokens that no stream of these tests reaches.
 const longAnswer = 800
 
-// checkSpoiltStreamsEnd sends a request for each spoilt stream to a fleet of processes, all at once, for an answer of at
-// most maxTokens. It checks that each client's connection ends in time after the engine's last event, without the last
-// chunk.
+// checkSpoiltStreamsEnd sends a request for each spoilt stream to a fleet of processes, all at once, for an answer of
+// at most maxTokens. It checks that each client's connection ends in time after the engine's last event, without the
+// last chunk.
 func checkSpoiltStreamsEnd(t *testing.T, maxTokens int, spoilt map[string]spoilPlan) {
 	t.Helper()
 	f := newFleet(t, fleetPlan{prefillEngines: 1, decodeEngines: 1, stateTTL: time.Second, spoilt: spoilt})
--- a/cmd/brackenbend/slowengine_test.go
+++ b/cmd/brackenbend/slowengine_test.go
@@ -58,8 +58,8 @@
 	}
 }
 
-// copyThrottled copies from one connection to the other at rate bytes a second, in at most twenty pieces, once the first
-// bytes have passed. It closes both at the end.
+// copyThrottled copies from one connection to the other at rate bytes a second, in at most twenty pieces, once the
+// first bytes have passed. It closes both at the end.
 func copyThrottled(to, from net.Conn, rate int, unthrottled int64) {
 	defer to.Close()
 	defer from.Close()
@@ -136,7 +136,7 @@
 // TestSlowlyWrittenStreamIsServed guards against streams that are cut off while their engine is still writing an event:
 // it takes longer than an engine may be silent.
 func TestSlowlyWrittenStreamIsServed(t *testing.T) {
-	const headAndFirstEvent, slowRate = 260, 15 // bytes, bytes a second: the rest of the answer takes 6 s, an event over 5 s
+	const headAndFirstEvent, slowRate = 260, 15 // bytes, bytes a second: the rest takes 6 s, an event over 5 s
 	slow := throttle{toNode: slowRate, unthrottled: headAndFirstEvent}
 	eachClass(t, decodeEngine, func(t *testing.T, class string) {
 		answer := askSlowEngine(t, class, 0, fleetPlan{decodeThrottle: slow})
--- a/internal/engine/answerprogress_test.go
+++ b/internal/engine/answerprogress_test.go
@@ -58,7 +58,9 @@
 }
 
 func TestMalformedEventData(t *testing.T) {
-	for _, data := range []string{"ping", "5", "[]", `"choices"`, `{"choices":[{}]`, "{\"choices\":[{\"delta\":\"\r\n52\"}]}", "[DONE", "{}{}"} {
+	for _, data := range []string{
+		"ping", "5", "[]", `"choices"`, `{"choices":[{}]`, "{\"choices\":[{\"delta\":\"\r\n52\"}]}", "[DONE", "{}{}",
+	} {
 		if isEventData([]byte(data)) {
 			t.Errorf("%s: not taken for malformed", data)
 		}
--- a/internal/engine/call.go
+++ b/internal/engine/call.go
@@ -30,8 +30,8 @@
 // deadlinePassed reports whether Deadline has passed.
 func (c *Call) deadlinePassed() bool { return !c.Deadline.IsZero() && !time.Now().Before(c.Deadline) }
 
-// maxEvents is the highest number of events with data, without the last one, that the answer may have; 0 = no limit. Each
-// token may come with an event of its own and another without one, and some events mark the start and the end.
+// maxEvents is the highest number of events with data, without the last one, that the answer may have; 0 = no limit.
+// Each token may come with an event of its own and another without one, and some events mark the start and the end.
 func (c *Call) maxEvents() int {
 	const eventsPerToken, eventsWithoutToken = 2, 16
 	if c.MaxTokens == 0 {
--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -37,8 +37,8 @@
 	return c.handleClientClose(request)
 }
 
-// closeCheckInterval is how often a connection with unread input is asked for a close behind that input. An attempt must
-// not begin over 0.1 s after the close.
+// closeCheckInterval is how often a connection with unread input is asked for a close behind that input. An attempt
+// must not begin over 0.1 s after the close.
 const closeCheckInterval = 50 * time.Millisecond
 
 // awaitAnswerWithBufferedInput waits for the answer when the client has already sent more bytes. A read would not show
--- a/internal/gateway/disconnect_test.go
+++ b/internal/gateway/disconnect_test.go
@@ -158,8 +158,8 @@
 // unreadBytes are more than a connection's read buffer holds, so that some stay in the socket.
 var unreadBytes = strings.Repeat("x", 2*clientReadBufferSize)
 
-// checkUnreadClose checks that nothing is sent for a client that has written a request and more bytes and has closed its
-// connection, while the goroutine of the connection has read only the request.
+// checkUnreadClose checks that nothing is sent for a client that has written a request and more bytes and has closed
+// its connection, while the goroutine of the connection has read only the request.
 func checkUnreadClose(t *testing.T, more string) {
 	t.Helper()
 	tg := newTestGateway(t, "", "reader", "writer")
--- a/internal/gateway/inflight.go
+++ b/internal/gateway/inflight.go
@@ -109,8 +109,8 @@
 // disconnected. It is called just before an attempt is sent.
 func (r *inflightRequest) abandoned() bool { return r.answered() || r.conn.peerClosed() }
 
-// mustNotRunAgain reports whether the request, which has ended, may have run and is not idempotent without a key. Only the
-// event loop may call it.
+// mustNotRunAgain reports whether the request, which has ended, may have run and is not idempotent without a key. Only
+// the event loop may call it.
 func (r *inflightRequest) mustNotRunAgain() bool {
 	mayHaveRun := func(a *attempt) bool { return !a.neverExecuted }
 	return r.class.Idempotency != routing.Idempotent && slices.ContainsFunc(r.attempts, mayHaveRun)
--- a/internal/http1/body.go
+++ b/internal/http1/body.go
@@ -40,9 +40,9 @@
 	b.eof = !b.chunked && b.remaining == 0
 }
 
-// SetLimit makes Read fail with an *Error of status 413 as soon as the body is said to have more than limit bytes, by its
-// Content-Length or by the sizes of its chunks. It must be called before the first Read. A body that extends to the end
-// of the connection says nothing about its size.
+// SetLimit makes Read fail with an *Error of status 413 as soon as the body is said to have more than limit bytes, by
+// its Content-Length or by the sizes of its chunks. It must be called before the first Read. A body that extends to the
+// end of the connection says nothing about its size.
 func (b *Body) SetLimit(limit int64) {
 	b.limit = limit
 	if !b.chunked && b.remaining > limit {
--- a/internal/node/repeated_id_test.go
+++ b/internal/node/repeated_id_test.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// TestIDsThatMayComeAgain checks which ids of ended requests are taken again: those of idempotent requests, and of those
-// that never ran.
+// TestIDsThatMayComeAgain checks which ids of ended requests are taken again: those of idempotent requests, and of
+// those that never ran.
 func TestIDsThatMayComeAgain(t *testing.T) {
 	var declines atomic.Bool
 	prefill := newPrefillEngine(t, func(e *fakeEngine, w http.ResponseWriter, r *http.Request) {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -38,14 +38,14 @@
 // PeerClosed reports whether the peer of nc has closed or reset the connection, or its sending side, also where data
 // before the close is unread. Where the kernel does not tell, it returns false while data is unread.
 func PeerClosed(nc net.Conn) bool {
-	switch ReadState(nc) {
-	case Closed:
-		return true
-	case Idle:
-		return false
+	if state := ReadState(nc); state != Readable {
+		return state == Closed
 	}
-	info, err := 0, error(nil)
-	controlErr := control(nc, func(fd uintptr) { info, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	var info int
+	var err error
+	controlErr := control(nc, func(fd uintptr) {
+		info, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	})
 	if cmp.Or(controlErr, err) != nil {
 		return false
 	}
--- a/internal/socket/socket_test.go
+++ b/internal/socket/socket_test.go
@@ -53,9 +53,12 @@
 		want   State
 		closed bool // PeerClosed
 	}{
-		"open":                 {func(*testing.T, *net.TCPConn) {}, Idle, false},
-		"bytes":                {write, Readable, false},
-		"bytes before the end": {func(t *testing.T, peer *net.TCPConn) { write(t, peer); closePeer(t, peer) }, Readable, true},
+		"open":  {func(*testing.T, *net.TCPConn) {}, Idle, false},
+		"bytes": {write, Readable, false},
+		"bytes before the end": {func(t *testing.T, peer *net.TCPConn) {
+			write(t, peer)
+			closePeer(t, peer)
+		}, Readable, true},
 		"bytes before a half-close": {func(t *testing.T, peer *net.TCPConn) {
 			write(t, peer)
 			check(t, peer.CloseWrite())
