A client that reads slowly is cut off only when it takes nothing

Found by looking for waits that ignore progress.

Cause: the deadline of a write was set once for all its bytes.

Change: a write that times out after some bytes were taken goes on with the rest and a new deadline.

Why it holds: the client's system takes bytes only as the client reads; one that has stopped takes none, and the next deadline ends it.

Measured: TestClientThatReadsSlowlyIsNotCutOff failed before (2 of 6 bytes) and passes; TestClientThatStopsReadingIsCanceled and the gateway's other tests pass with the race detector.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -168,14 +170,19 @@
 	return c.conn.SetReadDeadline(deadline)
 }
 
-// write writes b with a deadline of the write timeout.
+// write writes b. It fails once the client has read nothing for the write timeout, so that its system takes no more.
 func (c *clientConn) write(b []byte) error {
 	c.wroteResponse = true
-	if err := c.conn.SetWriteDeadline(time.Now().Add(c.gateway.Limits.WriteTimeout)); err != nil {
-		return err
+	for {
+		if err := c.conn.SetWriteDeadline(time.Now().Add(c.gateway.Limits.WriteTimeout)); err != nil {
+			return err
+		}
+		n, err := c.conn.Write(b)
+		if n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		b = b[n:]
 	}
-	_, err := c.conn.Write(b)
-	return err
 }
 
 // writeResponse writes a response that is not a stream.
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -250,6 +251,47 @@
 	}
 }
 
+// slowReaderConn is a connection whose peer takes a few bytes before each write times out, for a number of times.
+type slowReaderConn struct {
+	net.Conn
+	received bytes.Buffer
+	accepts  []int // bytes taken by each write; after that nothing is taken
+}
+
+func (c *slowReaderConn) SetWriteDeadline(time.Time) error { return nil }
+
+func (c *slowReaderConn) Write(p []byte) (int, error) {
+	n := 0
+	if len(c.accepts) > 0 {
+		n, c.accepts = min(c.accepts[0], len(p)), c.accepts[1:]
+	}
+	c.received.Write(p[:n])
+	if n < len(p) {
+		return n, os.ErrDeadlineExceeded
+	}
+	return n, nil
+}
+
+// TestClientThatReadsSlowlyIsNotCutOff guards against answers that are cut off while their client is reading them: one
+// write took longer than a client may read nothing.
+func TestClientThatReadsSlowlyIsNotCutOff(t *testing.T) {
+	tg := newTestGateway(t, "")
+	for name, c := range map[string]struct {
+		accepts  []int
+		received string
+		err      error
+	}{
+		"reads all the time": {[]int{2, 1, 3}, "answer", nil},
+		"stops reading":      {[]int{2, 1, 0, 3}, "ans", os.ErrDeadlineExceeded},
+	} {
+		peer := &slowReaderConn{accepts: c.accepts}
+		err := newClientConn(tg.gateway, peer).write([]byte("answer"))
+		if !errors.Is(err, c.err) || peer.received.String() != c.received {
+			t.Errorf("%s: %v, received %q", name, err, peer.received.String())
+		}
+	}
+}
+
 // hookedConn is the gateway's end of a client's connection. It calls hooks before and after reads and after writes.
 type hookedConn struct {
 	*net.TCPConn
