Finish reasons that are empty finish nothing; extra time is looked at late only

Whether an incomplete event gets extra time is asked only once half of the time without an event has passed, since earlier bytes don't count then: streams that come in pieces no longer pay for it. The log line of a refused id names the id. Packages of engine, gateway and node and the tests of spoilt and slow streams pass.

--- a/internal/engine/answerprogress.go
+++ b/internal/engine/answerprogress.go
@@ -45,7 +45,8 @@
 	if p.finishedChoices.contains(index) {
 		return false
 	}
-	if bytes.HasPrefix(memberValue(choices, finishReasonName), []byte(`"`)) {
+	reason, isText := bytes.CutPrefix(memberValue(choices, finishReasonName), []byte(`"`))
+	if isText && !bytes.HasPrefix(reason, []byte(`"`)) { // some engines write "" for none
 		p.finishedChoices.add(index)
 	}
 	return true
--- a/internal/engine/answerprogress_test.go
+++ b/internal/engine/answerprogress_test.go
@@ -40,6 +40,7 @@
 		want bool
 	}{
 		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":null}]}`, true},
+		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason": ""}]}`, true},
 		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":"stop"}]}`, true},
 		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":null}]}`, false},
 		{`{"choices":[{"index":1,"delta":{"content":"oq"},"finish_reason":"stop"}]}`, false},
--- a/internal/engine/slowevent.go
+++ b/internal/engine/slowevent.go
@@ -57,15 +57,19 @@
 // writing.
 func (r *streamRelay) grantExtraTime() {
 	r.conn.extra = extraTime{}
-	if r.client.SlowEventGap == 0 || r.filled == 0 || r.strayed || r.attempt.stream.lastEventAt.IsZero() {
+	lastEventAt := r.attempt.stream.lastEventAt
+	if r.client.SlowEventGap == 0 || r.filled == 0 || r.strayed || lastEventAt.IsZero() {
 		return
 	}
+	if time.Since(lastEventAt) < r.client.StreamIdleTimeout/2 {
+		return // bytes that come so early are of no interest when the time is over
+	}
 	if r.filled > max(slowEventFactor*r.largestEvent, minSlowEventSize) || !canBecomeEvent(r.buf[:r.filled]) {
 		return
 	}
 	r.conn.lastReadAt = time.Now()
 	r.conn.extra = extraTime{
-		maxGap: r.client.SlowEventGap, end: r.attempt.stream.lastEventAt.Add(r.client.SlowEventTimeout),
+		maxGap: r.client.SlowEventGap, end: lastEventAt.Add(r.client.SlowEventTimeout),
 	}
 }
 
--- a/internal/engine/slowevent_test.go
+++ b/internal/engine/slowevent_test.go
@@ -58,6 +58,7 @@
 		t.Run(name, func(t *testing.T) {
 			client := newTestClient()
 			client.RequireLastChunk, client.StrictEvents = true, true
+			client.StreamIdleTimeout = time.Nanosecond
 			client.SlowEventGap, client.SlowEventTimeout = time.Minute, time.Hour
 			conn := &slowConn{parts: append([]string{streamHeader, chunk(token)}, c.parts...)}
 			conn.parts = append(conn.parts, "", rest)
--- a/internal/gateway/conn_request.go
+++ b/internal/gateway/conn_request.go
@@ -137,10 +137,11 @@
 	}
 	idempotent := request.class.Idempotency == routing.Idempotent
 	if !g.clientIDs.claim(request.clientID, idempotent) { // the event loop releases it with the request
-		return c.reject(req, body, "open already", &api.Error{
+		c.recordEarlyRejection("open already", request.clientID)
+		return c.respond(req, body, errorResponse(&api.Error{
 			Status: http.StatusConflict, Type: api.TypeInvalidRequest, Code: codeDuplicateID,
 			Message: "a request of this id is open, or may have run",
-		})
+		}))
 	}
 	g.mu.Lock()
 	c.hadRequest = true
