--- a/cmd/brackenbend/fleet_test.go
+++ b/cmd/brackenbend/fleet_test.go
@@ -45,7 +45,8 @@
 
 	prefillThrottle, decodeThrottle throttle // of the first prefill engine and of the first decode engine
 
-	spoilt map[string]spoilPlan // streams that are spoilt on their way from the first decode engine, by request id
+	// Answers that are spoilt on their way from the first engine of a stage, by request id; nil = none.
+	spoiltPrefills, spoilt map[string]spoilPlan
 }
 
 const (
@@ -78,10 +79,8 @@
 	f.decodeEngines = f.startEngines(t, decodeEngine, plan.decodeEngines, plan.timeToFirstToken)
 	f.throttle(t, f.prefillEngines[0], plan.prefillThrottle)
 	f.throttle(t, f.decodeEngines[0], plan.decodeThrottle)
-	if plan.spoilt != nil {
-		f.spoilingProxy = newSpoilingProxy(t, f.decodeEngines[0].proxy.Addr().String(), plan.spoilt)
-		f.decodeEngines[0].address = f.spoilingProxy.Addr().String()
-	}
+	f.spoil(t, f.prefillEngines[0], plan.spoiltPrefills)
+	f.spoilingProxy = f.spoil(t, f.decodeEngines[0], plan.spoilt)
 	members := append(fleetMembers(prefillEngine, f.prefillEngines), fleetMembers(decodeEngine, f.decodeEngines)...)
 	discovery, _ := startSilentDiscovery(t)
 	config := filepath.Join(t.TempDir(), "config.json")
@@ -101,6 +100,17 @@
 	}
 }
 
+// spoil puts a proxy in front of an engine that spoils its answers, unless there are no plans.
+func (f *processFleet) spoil(t *testing.T, e *fleetEngine, plans map[string]spoilPlan) *spoilingProxy {
+	t.Helper()
+	if plans == nil {
+		return nil
+	}
+	proxy := newSpoilingProxy(t, e.address, plans)
+	e.address = proxy.Addr().String()
+	return proxy
+}
+
 // engines returns all engines of the fleet.
 func (f *processFleet) engines() []*fleetEngine {
 	return slices.Concat(f.prefillEngines, f.decodeEngines)
--- a/cmd/brackenbend/fleetrequests_test.go
+++ b/cmd/brackenbend/fleetrequests_test.go
@@ -17,8 +17,14 @@
 // again.
 const reuseDelayPassed = 50 * time.Millisecond
 
-// shortAnswer is the number of tokens that the answers of most tests may have.
-const shortAnswer = 8
+const (
+	// shortAnswer is the number of tokens that the answers of most tests may have.
+	shortAnswer = 8
+	// fleetDeadline is the first token's deadline of requests in these tests, and latestFleetAnswer when one without its
+	// final answer is lost.
+	fleetDeadline     = 8 * time.Second
+	latestFleetAnswer = fleetDeadline + 500*time.Millisecond
+)
 
 // send sends a request for a short answer on a new connection.
 func (f *processFleet) send(t *testing.T, id, class string) net.Conn {
@@ -37,10 +43,11 @@
 	_, _ = fmt.Fprintf(
 		conn,
 		"POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nReq-Id: %s\r\nReq-Kind: %s\r\nReq-Key: 7f\r\n"+
-			"Req-Deadline-Ms: 8000\r\n"+
+			"Req-Deadline-Ms: %d\r\n"+
 			"Req-Extra: prompt_len=20,max_out=%d\r\nContent-Length: 2\r\n\r\n{}",
 		id,
 		class,
+		fleetDeadline.Milliseconds(),
 		maxTokens,
 	)
 	return conn
--- a/cmd/brackenbend/spoilingproxy_test.go
+++ b/cmd/brackenbend/spoilingproxy_test.go
@@ -15,16 +15,19 @@
 // spoilInterval is the pause between two pieces of a spoilt stream.
 const spoilInterval = 100 * time.Millisecond
 
-// spoilPlan says how the stream of a request goes on after its first event, which the proxy passes on as it came.
+// spoilPlan says how the answer to a request goes on after the first event of its stream, which the proxy passes on as
+// it came.
 type spoilPlan struct {
+	// opening is written in place of the head and the first event, without asking the engine; empty = they are passed on.
+	opening string
+
 	start  string // written once, behind the first event
 	repeat string // written again and again, at spoilInterval
 	// repetitions is how often repeat is written before the stream falls silent; 0 = until the node closes the connection.
 	repetitions int
 }
 
-// spoilingProxy stands between a node and a decode engine. It forwards requests, and spoils the streams of those with a
-// plan.
+// spoilingProxy stands between a node and an engine. It forwards requests, and spoils the answers to those with a plan.
 type spoilingProxy struct {
 	net.Listener
 	engineAddress string
@@ -74,6 +77,12 @@
 			return
 		}
 		plan, spoilt := p.plans[req.Header.Get("Req-Id")]
+		if plan.opening != "" {
+			_, _ = io.Copy(io.Discard, req.Body)
+			_, _ = io.WriteString(conn, plan.opening)
+			plan.play(conn)
+			return
+		}
 		if !p.forward(conn, req, plan, spoilt) {
 			return
 		}
