An agent that answers each watch at once doesn't keep the node asking

What was seen: a discovery agent that answers each watch at once, with nothing new, was asked again at once: 3 watches in 0.7 ms, and so on for as long as it does that. Found by looking for waits that a faulty peer controls; callers would see late answers, since the node's processor is busy.

Cause: the next watch was sent as soon as one was answered, whatever it brought.

Change: after a watch that was answered in less than half of its time with nothing new (no entries, the same revision) the watcher pauses for 0.1 s. A watch goes on where the next one comes within 0.2 s, and a change that comes in the pause is told by the next answer.

Measured: TestWatchThatDoesNotWaitIsPaced failed before (0.75 ms, 200 ms wanted) and passes; the packages of node pass, discovery's with the race detector.

--- a/internal/node/discovery/conn.go
+++ b/internal/node/discovery/conn.go
@@ -26,6 +26,7 @@
 	address       string
 	reader        *bufio.Reader
 	detachContext func() bool // stops the context from closing the connection; false = already closed
+	watchSentAt   time.Time   // when the last watch was sent
 }
 
 // close closes the connection. The error is ignored, since the reply was read or abandoned.
@@ -152,6 +153,7 @@
 	if err := w.sendRequest(c, target); err != nil {
 		return err
 	}
+	c.watchSentAt = time.Now()
 	_, err := c.reader.Peek(1)
 	return err
 }
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -14,6 +14,10 @@
 // reply may come from a discovery replica that lags behind, and applying it would make draining engines ready again.
 const minStaleReplies = 2
 
+// emptyWatchPause is the pause after a watch that was answered early with nothing new. A watch goes on where the next
+// one comes within 200 ms.
+const emptyWatchPause = 100 * time.Millisecond
+
 var (
 	errPartialList = errors.New("discovery: agent returned changes instead of the complete list")
 	errConnClosed  = errors.New("discovery: agent closed the connection")
@@ -59,6 +63,7 @@
 	}
 	defer c.close()
 	defer context.AfterFunc(ctx, c.close)()
+	revision := int64(0) // of the last reply
 	for complete := true; ; complete = false {
 		content, reusable, err := w.readReply(c)
 		if err != nil {
@@ -75,12 +80,32 @@
 		if !reusable {
 			return errConnClosed
 		}
-		if err := w.requestWatch(c, list.Revision); err != nil {
+		if !complete && w.answeredEarly(c, list, revision) {
+			pause(ctx, emptyWatchPause)
+		}
+		revision = list.Revision
+		if err := w.requestWatch(c, revision); err != nil {
 			return err
 		}
 	}
 }
 
+// answeredEarly reports whether the last watch on c, since a revision, was answered with nothing new, in less than half
+// of the time that it may wait.
+func (w *Watcher) answeredEarly(c *conn, list *List, revision int64) bool {
+	return len(list.Members) == 0 && list.Revision == revision && time.Since(c.watchSentAt) < w.WatchTimeout/2
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // deliver passes a list to OnUpdate. completeRequested says that the complete list was requested. After an error, the
 // complete list must be requested again.
 func (w *Watcher) deliver(list *List, address string, completeRequested bool) error {
--- a/internal/node/discovery/watch_test.go
+++ b/internal/node/discovery/watch_test.go
@@ -100,6 +100,36 @@
 	}
 }
 
+// TestWatchThatDoesNotWaitIsPaced guards against a node that is kept busy by an agent that answers each watch at once,
+// without anything new.
+func TestWatchThatDoesNotWaitIsPaced(t *testing.T) {
+	queries := make(chan string, 1000)
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.RawQuery
+		if r.URL.RawQuery == "" {
+			_, _ = fmt.Fprint(w, listJSON(2, 41))
+			return
+		}
+		_, _ = fmt.Fprint(w, `{"revision":41,"complete":false,"members":[]}`)
+	}))
+	defer srv.Close()
+	w := &Watcher{
+		OnUpdate: func(endpointslice.Update) {}, Log: func(string, error) {},
+		WatchTimeout: time.Minute, ConnectTimeout: time.Minute, FirstByteTimeout: time.Minute, ResponseTimeout: time.Minute,
+		MaxBackoff: time.Millisecond, MaxListBytes: 1 << 20,
+	}
+	w.SetAddress(srv.Listener.Addr().String())
+	start := time.Now()
+	defer runWatcher(t, w)()
+	const watches = 3
+	for range 1 + watches {
+		<-queries
+	}
+	if took, shortest := time.Since(start), (watches-1)*emptyWatchPause; took < shortest {
+		t.Errorf("%d watches in %v, less than %v", watches, took, shortest)
+	}
+}
+
 // TestFailedRequestIsFollowedByCompleteList checks that after each kind of failure the complete list is requested on a
 // new connection, since changes may have been lost. Replies that are unusual but valid must not be treated as failures.
 func TestFailedRequestIsFollowedByCompleteList(t *testing.T) {
