--- a/cmd/brackenbend/endlessstream_test.go
+++ b/cmd/brackenbend/endlessstream_test.go
@@ -7,6 +7,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"brackenbend/internal/http1"
 )
 
 const (
@@ -47,7 +49,7 @@
 				t.Errorf("%s: the client was left waiting for %.1f s after the last event (%v)", id, waited.Seconds(), err)
 			case !strings.Contains(string(answer), tokenEvent[:len(tokenEvent)-len("\n\n")]):
 				t.Errorf("%s: the engine's first event is missing: %q", id, answer)
-			case bytes.HasSuffix(answer, []byte("0\r\n\r\n")):
+			case bytes.HasSuffix(answer, []byte(http1.LastChunk)):
 				t.Errorf("%s: the broken stream ended with the last chunk", id)
 			}
 		})
--- a/cmd/brackenbend/spoilingproxy_test.go
+++ b/cmd/brackenbend/spoilingproxy_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"brackenbend/internal/http1"
 )
 
 // spoilInterval is the pause between two pieces of a spoilt stream.
@@ -148,4 +149,4 @@
 }
 
 // chunkOf frames text as one chunk.
-func chunkOf(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+func chunkOf(text string) string { return string(http1.AppendChunk(nil, []byte(text))) }
--- a/internal/engine/answerprogress_test.go
+++ b/internal/engine/answerprogress_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"testing"
+
+	"brackenbend/internal/sse"
 )
 
 // answerEvents are data of events, by whether they bring an answer on that has just begun.
@@ -68,12 +70,14 @@
 	}
 }
 
+// BenchmarkAnswerProgress measures what StrictEvents costs for each event.
 func BenchmarkAnswerProgress(b *testing.B) {
-	data := []byte(`{"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}`)
+	event := []byte(`data: {"choices":[{"index":0,"delta":{"content":"oqvh"},"finish_reason":null}]}` + "\n\n")
+	data := sse.Data(event)
 	b.ReportAllocs()
 	for b.Loop() {
 		var p answerProgress
-		if !isEventData(data) || !p.advance(data) {
+		if !sse.WellFormed(event) || !isEventData(data) || !p.advance(data) {
 			b.Fatal("no part of an answer")
 		}
 	}
--- a/internal/engine/outcome.go
+++ b/internal/engine/outcome.go
@@ -16,7 +16,6 @@
 	CachedTokens     float64
 	LoadReport       []float64
 	KVTransferParams json.RawMessage // from a prefill's reply, for the decode that fetches the read state
-	Events           int             // events with data in a stream, without the last one; used as the token count
 	Stream           StreamProgress  // how far a stream got
 	Reply            *Reply          // the error response to an invalid request, to be passed to the client; else nil
 	Err              error           // for logs
--- a/internal/engine/progress.go
+++ b/internal/engine/progress.go
@@ -53,7 +53,7 @@
 
 // StreamProgress is how far a stream had got when it ended, for logs.
 type StreamProgress struct {
-	Events         int           // events with data, without the last one
+	Events         int           // events with data, without the last one; used as the token count
 	Bytes          int64         // bytes of the body that were read
 	SinceLastEvent time.Duration // from the last event that brought the answer on to the end; 0 = there was none
 }
--- a/internal/engine/slowevent_test.go
+++ b/internal/engine/slowevent_test.go
@@ -1,9 +1,8 @@
 package engine
 
 import (
-	"io"
-	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -12,28 +11,15 @@
 	"brackenbend/routing"
 )
 
-// slowConn is a connection whose parts arrive one at each read. An empty part is a read that times out.
-type slowConn struct {
-	net.Conn
-	parts     []string
-	deadlines []time.Time
-}
+// slowConn is a deadlineConn on which a read of an empty part times out.
+type slowConn struct{ deadlineConn }
 
 func (c *slowConn) Read(p []byte) (int, error) {
-	if len(c.parts) == 0 {
-		return 0, io.EOF
-	}
-	part := c.parts[0]
-	c.parts = c.parts[1:]
-	if part == "" {
+	if len(c.parts) > 0 && c.parts[0] == "" {
+		c.parts = c.parts[1:]
 		return 0, os.ErrDeadlineExceeded
 	}
-	return copy(p, part), nil
-}
-
-func (c *slowConn) SetReadDeadline(deadline time.Time) error {
-	c.deadlines = append(c.deadlines, deadline)
-	return nil
+	return c.deadlineConn.Read(p)
 }
 
 // TestOnlyAnEventInTheMakingGetsExtraTime guards against streams that are cut off while their engine is writing an
@@ -60,8 +46,8 @@
 			client.RequireLastChunk, client.StrictEvents = true, true
 			client.StreamIdleTimeout = time.Nanosecond
 			client.SlowEventGap, client.SlowEventTimeout = time.Minute, time.Hour
-			conn := &slowConn{parts: append([]string{streamHeader, chunk(token)}, c.parts...)}
-			conn.parts = append(conn.parts, "", rest)
+			conn := &slowConn{}
+			conn.parts = slices.Concat([]string{streamHeader, chunk(token)}, c.parts, []string{"", rest})
 			pc := newPersistConn(conn)
 			resp, err := http1.ReadResponse(pc.br, client.Limits)
 			if err != nil {
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -40,7 +40,7 @@
 	stream.maxEvents = call.maxEvents()
 	out := stream.relay()
 	out.Stream = a.stream.progress()
-	out.Events, out.CachedTokens, out.LoadReport = a.stream.events, a.stream.cachedTokens, a.stream.loadReport
+	out.CachedTokens, out.LoadReport = a.stream.cachedTokens, a.stream.loadReport
 	if out.LoadReport == nil {
 		out.LoadReport = c.loadMetrics(resp.Header.Get(c.LoadReportHeader))
 	}
--- a/internal/gateway/disconnect.go
+++ b/internal/gateway/disconnect.go
@@ -70,10 +70,11 @@
 		if request.state.Load() == answerStreaming {
 			deadline = request.answerDeadline
 		}
-		timer.Reset(closeCheckInterval)
-		if untilDeadline := time.Until(deadline); untilDeadline > 0 && untilDeadline < closeCheckInterval {
-			timer.Reset(untilDeadline)
+		wait := time.Until(deadline)
+		if wait <= 0 || wait > closeCheckInterval {
+			wait = closeCheckInterval
 		}
+		timer.Reset(wait)
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -131,7 +131,7 @@
 	if !a.ownsAnswer {
 		return false
 	}
-	r.eventCount.Store(int64(outcome.Events))
+	r.eventCount.Store(int64(outcome.Stream.Events))
 	r.sinceLastEvent.Store(int64(outcome.Stream.SinceLastEvent))
 	if r.collector == nil {
 		a.endStream(outcome)
--- a/internal/node/discovery/watch.go
+++ b/internal/node/discovery/watch.go
@@ -46,11 +46,7 @@
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			continue
 		}
-		select {
-		case <-ctx.Done():
-		case <-addressCtx.Done():
-		case <-time.After(w.backoff(rnd)):
-		}
+		pause(addressCtx, w.backoff(rnd)) // addressCtx ends with ctx, too
 	}
 }
 
